Room for results: counted while made, freed at the host that composed

Cause: results of stages that were passed on to another region were given up at the wrong host, so its targets looked full until the results' time to live was over, and calls held three pieces of 14. Calls under way were not counted as room taken; a stage beside a longer chain began with it and had its results lie for seconds; a request's pieces were split over calls.

--- a/crates/catalog/src/registry.rs
+++ b/crates/catalog/src/registry.rs
@@ -143,13 +143,7 @@
         self.targets.insert(id, Arc::new(Target { entry }));
     }
 
-    fn missing(
-        &mut self,
-        now: Ms,
-        id: &TargetId,
-        disturbed: bool,
-        out: &mut Vec<RegistryEvent>,
-    ) {
+    fn missing(&mut self, now: Ms, id: &TargetId, disturbed: bool, out: &mut Vec<RegistryEvent>) {
         match self.targets.contains_key(id) {
             true if disturbed => {
                 self.lapsed.entry(id.clone()).or_insert(now + LAPSE_GRACE);
--- a/crates/edge/src/composer.rs
+++ b/crates/edge/src/composer.rs
@@ -19,6 +19,7 @@
 use crate::dialect::StageCall;
 use crate::links::Link;
 use crate::members::Owner;
+use crate::remote::{self, Missed};
 use crate::send::{SendFault, send};
 
 /// Name of the system's own calls in a target's answer; answers that name none are taken too.
@@ -120,33 +121,53 @@
     /// Results are given up.
     pub(crate) fn free(self: &Arc<Self>, free: StageFree) {
         let Some(service) = self.service(&PoolId::from(free.service.as_str())) else { return };
-        for result in free.results.into_iter().filter(|r| !r.handle.is_empty()) {
-            let target = TargetId::from(result.target);
-            self.feed(&service, Event::Freed(target.clone(), result.handle.clone()));
-            let mut state = lock(&service.state);
-            let first = state.freed.is_empty();
-            state.freed.entry(target).or_default().push(result.handle);
-            drop(state);
-            if first {
-                tokio::spawn(self.clone().tell_freed(service.clone()));
-            }
+        let made = free.results.into_iter().filter(|r| !r.handle.is_empty());
+        self.free_results(&service, made.map(|r| (r.target.into(), r.handle)).collect());
+    }
+
+    fn free_results(self: &Arc<Self>, service: &Arc<Service>, freed: Vec<(TargetId, String)>) {
+        if freed.is_empty() {
+            return;
+        }
+        let mut state = lock(&service.state);
+        let first = state.freed.is_empty();
+        for (target, handle) in freed {
+            state.freed.entry(target).or_default().push(handle);
+        }
+        drop(state);
+        if first {
+            tokio::spawn(self.clone().tell_freed(service.clone()));
         }
     }
 
     async fn tell_freed(self: Arc<Self>, service: Arc<Service>) {
         tokio::time::sleep(FREE_WAIT.duration()).await;
         let freed = std::mem::take(&mut lock(&service.state).freed);
-        for (target, handles) in freed {
-            let Some(link) = self.core.links().named(&target).cloned() else { continue };
+        let calls =
+            freed.into_iter().map(|(target, handles)| self.tell_target(&service, target, handles));
+        futures::future::join_all(calls).await;
+    }
+
+    async fn tell_target(
+        self: &Arc<Self>,
+        service: &Arc<Service>,
+        target: TargetId,
+        handles: Vec<String>,
+    ) {
+        if let Some(link) = self.core.links().named(&target).cloned() {
             let build = || self.core.dialect.stage_free(link.name(), &handles);
-            let sent = send(&self.core, &link, OWN_CALL, FREE_SILENCE, build).await;
             // Not heard, the results go when their time to live is over.
-            let Ok(answered) = sent else { continue };
-            let read = link::read(answered.body, ANSWER_BYTES);
-            if let Ok(Ok(_)) = tokio::time::timeout(FREE_SILENCE.duration(), read).await {
-                answered.lease.close();
+            if let Ok(answered) = send(&self.core, &link, OWN_CALL, FREE_SILENCE, build).await {
+                let read = link::read(answered.body, ANSWER_BYTES);
+                if let Ok(Ok(_)) = tokio::time::timeout(FREE_SILENCE.duration(), read).await {
+                    answered.lease.close();
+                }
             }
         }
+        // Only now is there room for others.
+        for handle in handles {
+            self.feed(service, Event::Freed(target.clone(), handle));
+        }
     }
 
     /// The batcher of a service; none for one that runs no stages.
@@ -159,11 +180,8 @@
         let shape = catalog.service(name)?.batch.clone()?;
         let batcher = Batcher::new(name.clone(), shape, allowance(&self.core.settings()));
         let state = State { batcher, waiting: HashMap::new(), freed: HashMap::new() };
-        let service = Arc::new(Service {
-            name: name.clone(),
-            state: Mutex::new(state),
-            wake: Notify::new(),
-        });
+        let service =
+            Arc::new(Service { name: name.clone(), state: Mutex::new(state), wake: Notify::new() });
         services.insert(name.clone(), service.clone());
         drop(services);
         self.feed(&service, Event::Targets(self.places(name)));
@@ -218,8 +236,10 @@
             (None, after) => after.is_some(),
             (Some(_), None) => false,
         };
+        let mut unread = Vec::new();
         for effect in effects {
             match effect {
+                Effect::Free { target, handle } => unread.push((target, handle)),
                 Effect::Call { call, target, pieces, timeout } => {
                     self.core.metrics.call(service.name.as_str(), pieces.len());
                     let (composer, service) = (self.clone(), service.clone());
@@ -228,16 +248,25 @@
                         composer.called(&service, call, &target, end);
                     });
                 }
-                Effect::End { piece, end, target } => ended(&mut state, piece, end, target),
+                Effect::End { piece, end, target } => {
+                    unread.extend(ended(&mut state, piece, end, target));
+                }
             }
         }
         drop(state);
+        self.free_results(service, unread);
         if sooner {
             service.wake.notify_one();
         }
     }
 
-    fn called(self: &Arc<Self>, service: &Arc<Service>, call: CallId, target: &TargetId, end: CallEnd) {
+    fn called(
+        self: &Arc<Self>,
+        service: &Arc<Service>,
+        call: CallId,
+        target: &TargetId,
+        end: CallEnd,
+    ) {
         if !matches!(end, CallEnd::Done(_) | CallEnd::Full) {
             note!(
                 logs::Event::StageCallFailed,
@@ -285,7 +314,8 @@
         };
         let shape = self.core.catalog()?.service(service)?.batch.clone()?;
         let mut far = lock(&self.far);
-        let fresh = far.iter_mut().filter(|((s, _), (at, _))| s == service && now - *at <= LOAD_AGE);
+        let fresh =
+            far.iter_mut().filter(|((s, _), (at, _))| s == service && now - *at <= LOAD_AGE);
         let ((_, region), (_, wait)) = fresh.min_by_key(|(_, (_, wait))| *wait)?;
         if here <= *wait + FAR_COST {
             return None;
@@ -309,22 +339,19 @@
     ) -> Option<StageResults> {
         let Owner::Peer { host, addr } = owner else { return None };
         self.core.metrics.passed_on(service.as_str());
-        let within = Ms(work.expires_ms);
-        let peers = self.core.members.peers();
-        let submit = peers.submit(addr, work.clone(), within);
-        let lost = self.core.pulses.lost(&self.core, addr);
-        let why = tokio::select! {
-            results = submit => match results {
-                Ok(results) if !results.results.is_empty() => return Some(results),
-                Ok(_) => "nothing made".to_owned(),
-                Err(err) => err.to_string(),
-            },
-            () = lost => "silent".to_owned(),
-        };
-        note!(logs::Event::PeerFailed, host = %host, call = "pass_on", why);
-        self.core.members.suspect(&host);
-        lock(&self.far).remove(&(service.clone(), region.clone()));
-        None
+        match remote::make(&self.core, &host, addr, work.clone()).await {
+            Ok(mut results) if !results.results.is_empty() => {
+                results.owner = addr.to_string();
+                Some(results)
+            }
+            Ok(_) => None,
+            // The time is over: nothing is made here either.
+            Err(Missed::Late) => Some(StageResults::default()),
+            Err(Missed::Lost) => {
+                lock(&self.far).remove(&(service.clone(), region.clone()));
+                None
+            }
+        }
     }
 
     /// Asks the other regions for their loads of the services that this host composes.
@@ -458,8 +485,14 @@
     (0..work.pieces).map(piece).collect()
 }
 
-fn ended(state: &mut State, piece: PieceId, end: PieceEnd, target: Option<TargetId>) {
-    let Some((submission, i)) = state.waiting.remove(&piece) else { return };
+/// Notes the end of a piece. Gives the results that nobody reads: those of a stage that failed.
+fn ended(
+    state: &mut State,
+    piece: PieceId,
+    end: PieceEnd,
+    target: Option<TargetId>,
+) -> Vec<(TargetId, String)> {
+    let Some((submission, i)) = state.waiting.remove(&piece) else { return Vec::new() };
     let (fault, handle) = match end {
         PieceEnd::Made(handle) => (PieceFault::None, handle),
         PieceEnd::Late => (PieceFault::Late, String::new()),
@@ -471,11 +504,19 @@
     let mut submission = lock(&submission);
     submission.results[i] = PieceResult { fault: fault.into(), handle, target };
     submission.left -= 1;
-    if submission.left == 0
-        && let Some(done) = submission.done.take()
-    {
-        let results = std::mem::take(&mut submission.results);
-        // Dropped by a submitter that has gone: the results go when their time is over.
-        let _ = done.send(StageResults { results });
+    if submission.left > 0 {
+        return Vec::new();
+    }
+    let mut results = std::mem::take(&mut submission.results);
+    let mut unread = Vec::new();
+    if results.iter().any(|r| r.fault() != PieceFault::None) {
+        for result in results.iter_mut().filter(|r| !r.handle.is_empty()) {
+            unread.push((result.target.as_str().into(), std::mem::take(&mut result.handle)));
+        }
+    }
+    if let Some(done) = submission.done.take() {
+        // Its submitter may have gone; then the results go when their time to live is over.
+        let _ = done.send(StageResults { results, owner: String::new() });
     }
+    unread
 }
--- a/crates/edge/src/core.rs
+++ b/crates/edge/src/core.rs
@@ -71,8 +71,7 @@
         metrics: Metrics,
     ) -> Self {
         let revoke = settings.bounds.revoke_strict.then_some(settings.bounds.revoke_ms);
-        let known =
-            Known { registry: Registry::default(), freshness: Freshness::new(revoke) };
+        let known = Known { registry: Registry::default(), freshness: Freshness::new(revoke) };
         Self {
             dialect,
             metrics,
--- a/crates/edge/src/directory.rs
+++ b/crates/edge/src/directory.rs
@@ -92,10 +92,6 @@
     async fn list(&self, kind: Kind, after: Option<&str>) -> Result<Page, DirectoryError>;
 
     /// Waits up to `wait` for changes after `since`.
-    async fn watch(
-        &self,
-        kind: Kind,
-        since: Revision,
-        wait: Ms,
-    ) -> Result<Updates, DirectoryError>;
+    async fn watch(&self, kind: Kind, since: Revision, wait: Ms)
+    -> Result<Updates, DirectoryError>;
 }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -28,6 +28,7 @@
 mod pulse;
 mod refusal;
 mod reload;
+mod remote;
 mod request;
 mod results;
 mod send;
--- a/crates/edge/src/refusal.rs
+++ b/crates/edge/src/refusal.rs
@@ -101,7 +101,9 @@
             Self::NoRoute => "no route has this host and path".into(),
             Self::NoKey => "the key is not known".into(),
             Self::NoConfig => "this host has no configuration yet; ask another".into(),
-            Self::Unproved => "this host can't reach the store to check the key; ask another".into(),
+            Self::Unproved => {
+                "this host can't reach the store to check the key; ask another".into()
+            }
             Self::Stopping => "this host is stopping; ask another".into(),
             Self::NoTime => "there is no time left to run it".into(),
             Self::NoTarget => "no target takes it now".into(),
--- a/crates/edge/src/request.rs
+++ b/crates/edge/src/request.rs
@@ -136,8 +136,7 @@
     let body = read(body, catalog.limits.body_bytes, time).await.map_err(refused)?;
     let name = workspace.as_ref().map_or("", |w| w.name.as_str());
     let path = parts.uri.path_and_query().map_or("", |p| p.as_str());
-    let fingerprint =
-        hash_parts(&[route.name.as_bytes(), path.as_bytes(), name.as_bytes(), &body]);
+    let fingerprint = hash_parts(&[route.name.as_bytes(), path.as_bytes(), name.as_bytes(), &body]);
     if core.poison().is_poison(core.clock.now(), fingerprint) {
         return Err(refused(Reason::Poison));
     }
@@ -167,4 +166,3 @@
         Err(_) => Err(Reason::NoTime),
     }
 }
-
--- a/crates/edge/src/stages.rs
+++ b/crates/edge/src/stages.rs
@@ -1,22 +1,26 @@
 //! The stages of one request: each handed in as soon as those that it reads are done.
 
-use base::{Ms, PoolId};
+use base::{HostId, Ms, PoolId};
 use catalog::Batch;
 use futures::StreamExt;
 use futures::future::BoxFuture;
 use futures::stream::FuturesUnordered;
 use logs::note;
-use peer::PeerError;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use wire::{PieceFault, StageResults, StageWork};
 
 use crate::host::App;
 use crate::members::Owner;
 use crate::refusal::Reason;
+use crate::remote::{self, Missed};
 use crate::request::Call;
 use crate::results::{Results, StageOutput, free};
 
+/// How early a stage beside a longer chain begins, as a multiple of its expected time: late, it
+/// would hold the whole request up.
+const EARLY: (u64, u64) = (3, 2);
+/// Time between looks at a stage that is held back, ms.
+const LOOK: Ms = Ms(50);
 /// Times that a stage is done again because results that it read are gone.
 const REDONE: u32 = 1;
 
@@ -54,6 +58,8 @@
 struct Run<'a> {
     app: &'a Arc<App>,
     call: &'a Call,
+    /// Time that each stage takes, as far as is known.
+    times: Vec<Ms>,
     /// Time needed after each stage.
     after: Vec<Ms>,
     /// Handles by stage, once it is done.
@@ -71,21 +77,17 @@
             Some(batch) => app.core.estimate().stage(service, batch),
             None => Ms::ZERO,
         };
-        let after = match count {
-            0 => Vec::new(),
-            // The time of each stage is read first: the estimate is locked once at a time.
-            _ => {
-                let times: Vec<Ms> = call.route.stages.iter().map(|s| time(&s.service)).collect();
-                let of = |service: &PoolId| {
-                    let at = call.route.stages.iter().position(|s| s.service == *service);
-                    at.map_or(Ms::ZERO, |i| times[i])
-                };
-                app.core.estimate().after(&call.route, call.ask.tokens_in, of)
-            }
+        // The time of each stage is read first: the estimate is locked once at a time.
+        let times: Vec<Ms> = call.route.stages.iter().map(|s| time(&s.service)).collect();
+        let of = |service: &PoolId| {
+            let at = call.route.stages.iter().position(|s| s.service == *service);
+            at.map_or(Ms::ZERO, |i| times[i])
         };
+        let after = app.core.estimate().after(&call.route, call.ask.tokens_in, of);
         Self {
             app,
             call,
+            times,
             after,
             done: vec![None; count],
             held: vec![None; count],
@@ -97,8 +99,15 @@
 
     async fn finish(&mut self) -> Result<(), StageFault> {
         loop {
-            self.begin();
-            let Some((i, ended)) = self.working.next().await else { return Ok(()) };
+            let held_back = self.begin();
+            let next = match held_back {
+                false => self.working.next().await,
+                true => match tokio::time::timeout(LOOK.duration(), self.working.next()).await {
+                    Ok(next) => next,
+                    Err(_) => continue,
+                },
+            };
+            let Some((i, ended)) = next else { return Ok(()) };
             match ended {
                 Ok(output) => self.ended(i, output),
                 Err(StageFault::Gone) if self.redone < REDONE => self.redo(i),
@@ -107,8 +116,10 @@
         }
     }
 
-    /// Hands in every stage whose inputs are there.
-    fn begin(&mut self) {
+    /// Hands in every stage whose inputs are there and whose time has come. Says whether one is
+    /// held back.
+    fn begin(&mut self) -> bool {
+        let mut held_back = false;
         for i in 0..self.done.len() {
             let stage = &self.call.route.stages[i];
             let ready = stage.after.iter().all(|a| self.done[*a].is_some());
@@ -121,14 +132,40 @@
                 // A stage that reads this one may be ready now.
                 return self.begin();
             }
+            if !self.due_now(i) {
+                held_back = true;
+                continue;
+            }
             self.begun[i] = Some(self.app.core.clock.now());
             let work = self.work(i, pieces);
-            let (app, expires) = (self.app.clone(), Ms(work.expires_ms));
+            let app = self.app.clone();
             let service = stage.service.clone();
-            self.working.push(Box::pin(async move {
-                (i, submit(&app, &service, work, expires).await)
-            }));
+            self.working.push(Box::pin(async move { (i, submit(&app, &service, work).await) }));
         }
+        held_back
+    }
+
+    /// Whether a stage should begin, so that its results are there about when the others are.
+    ///
+    /// A stage beside a longer chain that begins with it has its results lie at their targets for
+    /// as long as the chain takes. Targets have room for a handful, and calls shrink to what is
+    /// left of it: the stage's targets lose half of what they can do.
+    fn due_now(&self, i: usize) -> bool {
+        let now = self.app.core.clock.now();
+        let left = |j: usize| match (self.done[j].is_some(), self.begun[j]) {
+            (true, _) => Ms::ZERO,
+            (false, None) => self.times[j] + self.after[j],
+            (false, Some(begun)) => self.times[j] - (now - begun) + self.after[j],
+        };
+        let others = (0..self.done.len()).filter(|j| *j != i && !self.leads_to(i, *j));
+        let longest = others.map(left).max().unwrap_or(Ms::ZERO);
+        longest <= self.times[i].scale(EARLY.0, EARLY.1) + self.after[i]
+    }
+
+    /// Whether stage `to` reads results of `from`, directly or not.
+    fn leads_to(&self, from: usize, to: usize) -> bool {
+        let after = &self.call.route.stages[to].after;
+        after.iter().any(|a| *a == from || self.leads_to(from, *a))
     }
 
     fn work(&self, i: usize, pieces: u32) -> StageWork {
@@ -203,24 +240,15 @@
     app: &Arc<App>,
     service: &PoolId,
     work: StageWork,
-    within: Ms,
 ) -> Result<StageOutput, StageFault> {
     let core = &app.core;
     let settings = core.settings().clone();
     let owner = core.members.owner(&settings, service, settings.region()).unwrap_or(Owner::Me);
     if let Owner::Peer { host, addr } = &owner {
-        match remote(app, *addr, &work, within).await {
+        match remote::make(core, host, *addr, work.clone()).await {
             Ok(results) => return output(service, owner, results),
-            Err(err) => {
-                note!(
-                    logs::Event::PeerFailed,
-                    request = %work.request,
-                    host = %host,
-                    call = "submit",
-                    why = %err
-                );
-                core.members.suspect(host);
-            }
+            Err(Missed::Late) => return Err(StageFault::Late),
+            Err(Missed::Lost) => {}
         }
     }
     // Alone: calls are less full, and nothing is lost.
@@ -228,26 +256,16 @@
     output(service, Owner::Me, results)
 }
 
-/// Waits for another host's results, as long as it shows that it lives.
-async fn remote(
-    app: &Arc<App>,
-    addr: SocketAddr,
-    work: &StageWork,
-    within: Ms,
-) -> Result<StageResults, PeerError> {
-    let peers = app.core.members.peers();
-    let submit = peers.submit(addr, work.clone(), within);
-    tokio::select! {
-        results = submit => results,
-        () = app.core.pulses.lost(&app.core, addr) => Err(PeerError::Silent),
-    }
-}
-
 fn output(
     service: &PoolId,
     owner: Owner,
     results: StageResults,
 ) -> Result<StageOutput, StageFault> {
+    // The host that was asked may have passed the stage on.
+    let owner = match results.owner.parse() {
+        Ok(addr) => Owner::Peer { host: HostId::from(results.owner.as_str()), addr },
+        Err(_) => owner,
+    };
     let results = results.results;
     let fault = |f: PieceFault| results.iter().any(|r| r.fault() == f);
     let failed = match () {
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -69,9 +69,7 @@
             response
         }
         Started::Answer(response) => *response,
-        Started::Refused(reason) => {
-            refused(&relay.core, &relay.call, reason, relay.tried.len())
-        }
+        Started::Refused(reason) => refused(&relay.core, &relay.call, reason, relay.tried.len()),
     }
 }
 
--- a/crates/peer/src/api.rs
+++ b/crates/peer/src/api.rs
@@ -4,7 +4,9 @@
 use base::{DomainId, HostId, Ms};
 use std::net::SocketAddr;
 use std::sync::Arc;
-use wire::{Claim, Exchange, Finish, Grant, HostNews, StageFree, StageLoads, StageResults, StageWork};
+use wire::{
+    Claim, Exchange, Finish, Grant, HostNews, StageFree, StageLoads, StageResults, StageWork,
+};
 
 use crate::PeerError;
 
--- a/crates/peer/src/listener.rs
+++ b/crates/peer/src/listener.rs
@@ -13,7 +13,9 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
 use tokio::task::{JoinHandle, JoinSet};
-use wire::{Claim, Exchange, Finish, Grant, HostNews, StageFree, StageLoads, StageResults, StageWork};
+use wire::{
+    Claim, Exchange, Finish, Grant, HostNews, StageFree, StageLoads, StageResults, StageWork,
+};
 
 use crate::Serves;
 
--- a/crates/peer/src/wire_peers.rs
+++ b/crates/peer/src/wire_peers.rs
@@ -13,7 +13,9 @@
 use tarpc::{client, context};
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
-use wire::{Claim, Exchange, Finish, Grant, HostNews, StageFree, StageLoads, StageResults, StageWork};
+use wire::{
+    Claim, Exchange, Finish, Grant, HostNews, StageFree, StageLoads, StageResults, StageWork,
+};
 
 use crate::listener::{FRAME_BYTES, PeerServiceClient};
 use crate::{PeerError, Peers, StagePeers};
@@ -173,7 +175,8 @@
         work: StageWork,
         within: Ms,
     ) -> Result<StageResults, PeerError> {
-        let call = |link: Arc<Link>, context| async move { link.client.submit(context, work).await };
+        let call =
+            |link: Arc<Link>, context| async move { link.client.submit(context, work).await };
         self.call_within(to, within, call).await?.ok_or(PeerError::Refused)
     }
 
--- a/crates/sched/src/batch/mod.rs
+++ b/crates/sched/src/batch/mod.rs
@@ -35,6 +35,9 @@
 /// Sends of one piece at most: the first, and two more when targets crash under it.
 const SENDS: u32 = 3;
 
+/// Weight of a new call in the learned fill: a few calls, about a second.
+const FILL_WEIGHT: f64 = 0.2;
+
 /// A piece at this batcher.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct PieceId(pub u64);
@@ -147,6 +150,13 @@
         /// When to give it up, ms from now.
         timeout: Ms,
     },
+    /// A result that nobody reads is given up.
+    Free {
+        /// Where it lies.
+        target: TargetId,
+        /// Its handle.
+        handle: String,
+    },
     /// A piece ended; its submitter is told.
     End {
         /// Which.
@@ -175,12 +185,15 @@
     pieces: HashMap<PieceId, Waiting>,
     calls: HashMap<CallId, (TargetId, Vec<PieceId>)>,
     next: u64,
+    /// Pieces in a call while more wait, learned: room and whole requests leave places empty.
+    fill: f64,
 }
 
 impl Batcher {
     /// No targets yet.
     pub fn new(service: PoolId, shape: Batch, allowance: Allowance) -> Self {
         Self {
+            fill: shape.size as f64,
             service,
             shape,
             budget: Budget::new(allowance),
@@ -223,8 +236,8 @@
         let mut free: Vec<Ms> =
             self.targets.values().filter(|t| t.usable(now)).map(|t| t.free_at(now)).collect();
         let queued = self.pieces.values().filter(|w| w.queued).count();
-        let full = self.time(self.shape.size);
-        for _ in 0..queued / self.shape.size.max(1) {
+        let full = self.time(self.fill as usize);
+        for _ in 0..(queued as f64 / self.fill.max(1.0)) as usize {
             let first = free.iter_mut().min()?;
             *first += full;
         }
@@ -280,6 +293,7 @@
                         }
                         Some(PieceEnd::Gone) if sound => self.finish(piece, PieceEnd::Gone, out),
                         Some(PieceEnd::Late) if sound => self.finish(piece, PieceEnd::Late, out),
+                        Some(PieceEnd::Room) if sound => self.again(now, piece, false, out),
                         _ => self.again(now, piece, true, out),
                     }
                 }
@@ -301,7 +315,11 @@
         handle: String,
         out: &mut Vec<Effect>,
     ) {
-        let Some(waiting) = self.pieces.remove(&piece) else { return };
+        let Some(waiting) = self.pieces.remove(&piece) else {
+            // Withdrawn, or made twice: nobody reads it.
+            out.push(Effect::Free { target: target.clone(), handle });
+            return;
+        };
         if let Some(target) = self.targets.get_mut(target) {
             target.keeps(handle.clone(), waiting.piece.bytes, now + self.shape.keep);
         }
@@ -379,15 +397,19 @@
         let normal = self.time(self.shape.size);
         let worth = |t: &Target| match soonest {
             // A slow target is left alone while a normal one would end the same call sooner.
-            Some(free) if t.slow(best) => t.probe_due(now) || free + normal > now + t.scaled(normal),
+            Some(free) if t.slow(best) => {
+                t.probe_due(now) || free + normal > now + t.scaled(normal)
+            }
             _ => true,
         };
         let takes = |id: &TargetId, t: &Target| {
             t.usable(now) && t.accepts(now, self.shape.slots) && worth(t) && !passed.contains(id)
         };
         let free = self.targets.iter().filter(|(id, t)| takes(id, t));
-        free.min_by(|(_, a), (_, b)| a.rank(now).partial_cmp(&b.rank(now)).unwrap_or(std::cmp::Ordering::Equal))
-            .map(|(id, _)| id.clone())
+        free.min_by(|(_, a), (_, b)| {
+            a.rank(now).partial_cmp(&b.rank(now)).unwrap_or(std::cmp::Ordering::Equal)
+        })
+        .map(|(id, _)| id.clone())
     }
 
     /// The pieces of the next call to a target.
@@ -407,7 +429,11 @@
     }
 
     fn call(&mut self, now: Ms, id: TargetId, ids: Vec<PieceId>, out: &mut Vec<Effect>) {
+        let left = self.queued() - ids.len();
         let Some(target) = self.targets.get_mut(&id) else { return };
+        if left > 0 {
+            self.fill += FILL_WEIGHT * (ids.len() as f64 - self.fill);
+        }
         self.next += 1;
         let call = CallId(self.next);
         let time = Ms((self.shape.call_ms + self.shape.item_ms * ids.len() as f64) as u64);
@@ -418,7 +444,8 @@
             waiting.sends += 1;
             pieces.push(waiting.piece.clone());
         }
-        let timeout = target.begin(now, call, time);
+        let bytes = pieces.iter().map(|p: &Piece| p.bytes).sum();
+        let timeout = target.begin(now, call, time, bytes);
         self.calls.insert(call, (id.clone(), ids));
         out.push(Effect::Call { call, target: id, pieces, timeout });
     }
--- a/crates/sched/src/batch/order.rs
+++ b/crates/sched/src/batch/order.rs
@@ -52,30 +52,46 @@
         (band, time, q.piece.request.clone(), q.piece.index)
     };
     queued.sort_by_cached_key(key);
+    let mut call = Call { size, room, out: Vec::new(), used: 0 };
     let most_last = (size * LAST_SHARE / 100).max(1);
-    let (mut out, mut held, mut last, mut used) = (Vec::new(), Vec::new(), 0, 0u64);
-    for q in &queued {
-        if out.len() == size {
-            break;
-        }
-        if band(q) == Band::Last {
-            last += 1;
-            if last > most_last {
-                held.push(q);
-                continue;
-            }
-        }
-        if used + q.piece.bytes <= room {
-            used += q.piece.bytes;
-            out.push(q.id);
+    let mut held = Vec::new();
+    // Pieces of one request stand together after sorting.
+    for request in queued.chunk_by(|a, b| a.piece.request == b.piece.request) {
+        let last = band(&request[0]) == Band::Last;
+        match last && call.out.len() + request.len() > most_last {
+            true => held.push(request),
+            false => call.take(request),
         }
     }
     // Places that nobody else wants go to the rest of the last chances.
-    for q in held {
-        if out.len() < size && used + q.piece.bytes <= room {
-            used += q.piece.bytes;
-            out.push(q.id);
+    held.into_iter().for_each(|request| call.take(request));
+    call.out
+}
+
+/// A call that is being filled.
+struct Call {
+    size: usize,
+    room: u64,
+    out: Vec<PieceId>,
+    used: u64,
+}
+
+impl Call {
+    /// Takes a request's pieces if they all fit, so that they are made together: results of a part
+    /// lie at their target until the rest is made elsewhere, and nobody can use them. One with
+    /// more pieces than a call has places begins an empty call.
+    fn take(&mut self, request: &[Queued<'_>]) {
+        let bytes: u64 = request.iter().map(|q| q.piece.bytes).sum();
+        let fits = self.out.len() + request.len() <= self.size && self.used + bytes <= self.room;
+        if !fits && !self.out.is_empty() {
+            return;
+        }
+        for q in request {
+            if self.out.len() == self.size || self.used + q.piece.bytes > self.room {
+                return;
+            }
+            self.used += q.piece.bytes;
+            self.out.push(q.id);
         }
     }
-    out
 }
--- a/crates/sched/src/batch/target.rs
+++ b/crates/sched/src/batch/target.rs
@@ -3,7 +3,7 @@
 use base::Ms;
 use std::collections::HashMap;
 
-use super::{CallEnd, CallId};
+use super::{CallEnd, CallId, PieceEnd};
 
 /// A call is overdue at this multiple of its expected time, plus [`OVERDUE_SLACK`]: pieces of one
 /// service differ by up to three times, and a slow target takes four to eight times as long.
@@ -29,12 +29,18 @@
 /// Pause after the target said that it is full, ms: another composer has a call there.
 const FULL_PAUSE: Ms = Ms(60);
 
+/// Time for which a target that had no room is left alone, ms: about the time in which a call's
+/// results are read and given up.
+const ROOM_PAUSE: Ms = Ms(150);
+
 #[derive(Debug)]
 struct Open {
     call: CallId,
     since: Ms,
     expected: Ms,
     time: Ms,
+    /// Room that its results take from its turn on, bytes.
+    bytes: u64,
     hedged: bool,
 }
 
@@ -46,6 +52,7 @@
     open: Vec<Open>,
     speed: f64,
     pause: Ms,
+    crowded: Ms,
     failures: u32,
     last: Ms,
     kept: HashMap<String, (Ms, u64)>,
@@ -60,6 +67,7 @@
             open: Vec::new(),
             speed: 1.0,
             pause: Ms::ZERO,
+            crowded: Ms::ZERO,
             failures: 0,
             last: Ms::ZERO,
             kept: HashMap::new(),
@@ -72,7 +80,7 @@
     }
 
     pub(super) fn usable(&self, now: Ms) -> bool {
-        self.live && self.pause <= now
+        self.live && self.pause <= now && self.crowded <= now
     }
 
     /// Whether a call sent now starts at once, or right after the one under way.
@@ -107,10 +115,10 @@
     }
 
     /// A call begins. Gives when to give it up, ms from now.
-    pub(super) fn begin(&mut self, now: Ms, call: CallId, time: Ms) -> Ms {
+    pub(super) fn begin(&mut self, now: Ms, call: CallId, time: Ms, bytes: u64) -> Ms {
         let expected = self.free_at(now) + self.scaled(time);
         self.last = now;
-        self.open.push(Open { call, since: now, expected, time, hedged: false });
+        self.open.push(Open { call, since: now, expected, time, bytes, hedged: false });
         let ahead = self.free_at(now) - now;
         ahead + time.scale(GIVE_UP.0, GIVE_UP.1)
     }
@@ -119,9 +127,16 @@
         self.keep = keep;
         let open = self.open.iter().position(|o| o.call == call).map(|i| self.open.remove(i));
         match end {
-            CallEnd::Done(_) => {
+            CallEnd::Done(ends) => {
                 self.failures = 0;
+                if ends.contains(&PieceEnd::Room) {
+                    // Others keep results there too, or they are larger than declared.
+                    self.crowded = now + ROOM_PAUSE;
+                }
                 let Some(open) = open else { return };
+                if ends.iter().all(|end| *end == PieceEnd::Room) {
+                    return;
+                }
                 let took = (now - open.since).0 as f64 / open.time.0.max(1) as f64;
                 self.speed += SPEED_WEIGHT * (took - self.speed);
             }
@@ -156,7 +171,8 @@
 
     /// Times at which something about it changes.
     pub(super) fn wakes(&self, now: Ms) -> Vec<Ms> {
-        let mut out = vec![self.pause];
+        let mut out = vec![self.pause, self.crowded];
+        out.extend(self.kept.values().map(|(until, _)| *until).min());
         for open in &self.open {
             out.push(open.expected - LEAD);
             if !open.hedged {
@@ -177,8 +193,9 @@
         self.kept.remove(handle);
     }
 
-    /// Bytes of results there.
+    /// Bytes of results there, those of calls under way included.
     pub(super) fn kept(&self, now: Ms) -> u64 {
-        self.kept.values().filter(|(until, _)| *until > now).map(|(_, bytes)| bytes).sum()
+        let made = self.kept.values().filter(|(until, _)| *until > now).map(|(_, bytes)| bytes);
+        made.sum::<u64>() + self.open.iter().map(|o| o.bytes).sum::<u64>()
     }
 }
--- a/crates/sched/src/place.rs
+++ b/crates/sched/src/place.rs
@@ -104,9 +104,7 @@
         let load = f64::from(c.load);
         load < f64::from(c.slots) * FILL && load <= mean + LOAD_SLACK
     };
-    let score = |i: &usize| {
-        hash_parts(&[&subject.to_le_bytes(), candidates[*i].name.as_bytes()])
-    };
+    let score = |i: &usize| hash_parts(&[&subject.to_le_bytes(), candidates[*i].name.as_bytes()]);
     tier.iter().copied().filter(fits).max_by_key(score)
 }
 
--- a/crates/wire/src/gen/siskinwheel.v1.rs
+++ b/crates/wire/src/gen/siskinwheel.v1.rs
@@ -731,6 +731,10 @@
 pub struct StageResults {
     #[prost(message, repeated, tag = "1")]
     pub results: ::prost::alloc::vec::Vec<PieceResult>,
+    /// Where the host listens that composed the calls, and that is told when they are given up;
+    /// empty for the one that answers.
+    #[prost(string, tag = "2")]
+    pub owner: ::prost::alloc::string::String,
 }
 /// How long a piece handed in now would wait for a call.
 #[derive(serde::Serialize, serde::Deserialize)]
