--- a/crates/catalog/src/registry.rs
+++ b/crates/catalog/src/registry.rs
@@ -6,7 +6,7 @@
 //! | an entry, draining | nothing new, for the rest of that life |
 //! | an entry of an earlier life, or an older one of this life | ignored |
 //! | a removal while the store is calm | gone at once |
-//! | missing from a list read after an outage | kept for [`LAPSE_GRACE`], then gone |
+//! | missing, or removed, shortly after an outage | kept until [`LAPSE_GRACE`] after the store's return, then gone |
 //!
 //! Without the last row an outage in which all leases lapse would leave a host without a single
 //! target, though all of them run.
@@ -17,9 +17,10 @@
 
 use crate::{Entry, TargetState};
 
-/// How long a target that an outage may have unregistered is kept, ms. Live targets register
-/// again within about two seconds of the store's return; the rest is for the list's own delay.
-pub const LAPSE_GRACE: Ms = Ms(2_500);
+/// How long after the store's return a target that an outage may have unregistered is kept, ms.
+/// Live targets register again within about two seconds; the rest is for the list's own delay. A
+/// removal after that is the target's own, however it comes about.
+pub const LAPSE_GRACE: Ms = Ms(2_400);
 
 /// A target that is known.
 #[derive(Clone, Debug, PartialEq)]
@@ -31,15 +32,14 @@
 /// What is read from the platform.
 #[derive(Clone, Debug)]
 pub enum Seen {
-    /// All entries there are. `disturbed` when the store failed calls shortly before, so that
-    /// entries may have lapsed though their targets live.
+    /// All entries there are.
     List {
         /// The entries that can be read.
         entries: Vec<Entry>,
         /// Names of all entries, readable or not.
         names: Vec<TargetId>,
-        /// Whether what is missing may have lapsed.
-        disturbed: bool,
+        /// Until when what is missing counts as lapsed; none when the store was calm.
+        lapse: Option<Ms>,
     },
     /// One entry changed.
     Entry(Entry),
@@ -49,8 +49,8 @@
     Removed {
         /// Whose.
         id: TargetId,
-        /// Whether it may have lapsed in an outage.
-        disturbed: bool,
+        /// Until when it counts as lapsed in an outage; none when the store was calm.
+        lapse: Option<Ms>,
     },
 }
 
@@ -77,7 +77,7 @@
     pub fn learn(&mut self, now: Ms, seen: Seen) -> Vec<RegistryEvent> {
         let mut out = Vec::new();
         match seen {
-            Seen::List { entries, names, disturbed } => {
+            Seen::List { entries, names, lapse } => {
                 let names: HashSet<TargetId> = names.into_iter().collect();
                 let readable: HashSet<TargetId> = entries.iter().map(|e| e.id.clone()).collect();
                 for entry in entries {
@@ -88,13 +88,13 @@
                     match names.contains(&id) {
                         true if readable.contains(&id) => {}
                         true => self.drop_now(&id, &mut out),
-                        false => self.missing(now, &id, disturbed, &mut out),
+                        false => self.missing(now, &id, lapse, &mut out),
                     }
                 }
             }
             Seen::Entry(entry) => self.take(entry, &mut out),
             Seen::Malformed(id) => self.drop_now(&id, &mut out),
-            Seen::Removed { id, disturbed } => self.missing(now, &id, disturbed, &mut out),
+            Seen::Removed { id, lapse } => self.missing(now, &id, lapse, &mut out),
         }
         out
     }
@@ -143,10 +143,10 @@
         self.targets.insert(id, Arc::new(Target { entry }));
     }
 
-    fn missing(&mut self, now: Ms, id: &TargetId, disturbed: bool, out: &mut Vec<RegistryEvent>) {
-        match self.targets.contains_key(id) {
-            true if disturbed => {
-                self.lapsed.entry(id.clone()).or_insert(now + LAPSE_GRACE);
+    fn missing(&mut self, now: Ms, id: &TargetId, lapse: Option<Ms>, out: &mut Vec<RegistryEvent>) {
+        match lapse {
+            Some(until) if until > now && self.targets.contains_key(id) => {
+                self.lapsed.entry(id.clone()).or_insert(until);
             }
             _ => self.drop_now(id, out),
         }
--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -5,7 +5,7 @@
 //! and changes often; a watch that ends early, or a history that is forgotten, means to list again.
 
 use base::{Ms, TargetId};
-use catalog::{Catalog, Entry, Proof, Seen};
+use catalog::{Catalog, Entry, LAPSE_GRACE, Proof, Seen};
 use logs::note;
 use std::sync::Arc;
 
@@ -28,9 +28,6 @@
 const PAUSE_MOST: Ms = Ms(500);
 /// Targets are listed anew this often, ms, in case a change was missed.
 const LIST_EVERY: Ms = Ms::secs(15);
-/// After a failed call, registrations that are missing count as lapsed for this long, ms: three
-/// missed heartbeats, and some to notice.
-const DISTURBED: Ms = Ms(5_000);
 
 /// Keeps the configuration current.
 pub(crate) async fn catalog(core: Arc<Core>, directory: Arc<dyn Directory>) {
@@ -89,34 +86,55 @@
 
 /// Keeps the targets current.
 pub(crate) async fn targets(core: Arc<Core>, directory: Arc<dyn Directory>) {
+    let mut outage = Outage::default();
     let mut pause = Pause::default();
-    let mut failed: Option<Ms> = None;
     loop {
-        let err = match follow(&core, directory.as_ref(), &mut pause, failed).await {
-            Ok(()) => continue,
-            Err(err) => err,
+        let Err(err) = follow(&core, directory.as_ref(), &mut pause, &mut outage).await else {
+            continue;
         };
-        // A forgotten history is no sign that registrations lapsed.
-        if err != DirectoryError::Forgotten {
-            failed = Some(core.clock.now());
-        }
+        outage.failed(&err);
         pause.bad(&err, "targets");
         core.expire();
         tokio::time::sleep(pause.time(core.draw()).duration()).await;
     }
 }
 
+/// Whether registrations may have lapsed because the store was away.
+#[derive(Default)]
+struct Outage {
+    open: bool,
+    returned: Option<Ms>,
+}
+
+impl Outage {
+    fn failed(&mut self, err: &DirectoryError) {
+        // A forgotten history is no sign that registrations lapsed.
+        self.open |= *err != DirectoryError::Forgotten;
+    }
+
+    fn answered(&mut self, now: Ms) {
+        if std::mem::take(&mut self.open) {
+            self.returned = Some(now);
+        }
+    }
+
+    /// Until when what is missing counts as lapsed.
+    fn lapse(&self) -> Option<Ms> {
+        self.returned.map(|at| at + LAPSE_GRACE)
+    }
+}
+
 /// Lists and watches until it is time to list again, or a call fails.
 async fn follow(
     core: &Core,
     directory: &dyn Directory,
     pause: &mut Pause,
-    failed: Option<Ms>,
+    outage: &mut Outage,
 ) -> Result<(), DirectoryError> {
-    let disturbed = |now: Ms| failed.is_some_and(|at| now - at <= DISTURBED);
     let (records, mut since) = list(directory).await?;
     pause.good();
-    core.learn(seen(records, disturbed(core.clock.now())));
+    outage.answered(core.clock.now());
+    core.learn(seen(records, outage.lapse()));
     let end = core.clock.now() + LIST_EVERY;
     while core.clock.now() < end {
         let watch = directory.watch(Kind::Targets, since, WATCH);
@@ -124,7 +142,7 @@
         since = revision;
         for change in changes {
             core.learn(match change {
-                Change::Removed(id) => Seen::Removed { id, disturbed: disturbed(core.clock.now()) },
+                Change::Removed(id) => Seen::Removed { id, lapse: outage.lapse() },
                 Change::Set(record) => match entry(record) {
                     Ok(entry) => Seen::Entry(entry),
                     Err(id) => Seen::Malformed(id),
@@ -153,10 +171,10 @@
     }
 }
 
-fn seen(records: Vec<Record>, disturbed: bool) -> Seen {
+fn seen(records: Vec<Record>, lapse: Option<Ms>) -> Seen {
     let names = records.iter().map(|r| r.name.clone()).collect();
     let entries = records.into_iter().filter_map(|r| entry(r).ok()).collect();
-    Seen::List { entries, names, disturbed }
+    Seen::List { entries, names, lapse }
 }
 
 fn entry(record: Record) -> Result<Entry, TargetId> {
