--- a/crates/edge/src/composer.rs
+++ b/crates/edge/src/composer.rs
@@ -189,16 +189,25 @@
         Some(service)
     }
 
-    /// Targets of a service in this region; all others where this region has none.
+    /// Targets of a service that this host composes calls for: those of its region, or all where
+    /// no other host composes for them.
+    ///
+    /// Two composers for one target each believe its place and its room to be their own: calls are
+    /// turned away, or find no room.
     fn places(&self, service: &PoolId) -> Vec<Place> {
         let links = self.core.links();
         let settings = self.core.settings();
-        let near = |l: &&Arc<Link>| settings.region_of(&l.entry.domain) == Some(settings.region());
         let place = |l: &Arc<Link>| Place { id: l.entry.id.clone(), born: l.entry.born };
+        let composed = |l: &Arc<Link>| match settings.region_of(&l.entry.domain) {
+            Some(region) if region == settings.region() => true,
+            Some(region) => !self.core.members.composes(&settings, service, region),
+            None => true,
+        };
         let all = links.of(service);
+        let near = |l: &&Arc<Link>| settings.region_of(&l.entry.domain) == Some(settings.region());
         let own: Vec<Place> = all.iter().filter(near).map(place).collect();
         match own.is_empty() {
-            true => all.iter().map(place).collect(),
+            true => all.iter().filter(|l| composed(l)).map(place).collect(),
             false => own,
         }
     }
@@ -267,13 +276,23 @@
         target: &TargetId,
         end: CallEnd,
     ) {
-        if !matches!(end, CallEnd::Done(_) | CallEnd::Full) {
-            note!(
+        match &end {
+            CallEnd::Done(ends) => note!(
+                logs::Event::StageCallEnded,
+                service = %service.name,
+                target = %target,
+                pieces = ends.len(),
+                made = ends.iter().filter(|e| matches!(e, PieceEnd::Made(_))).count(),
+                no_room = ends.iter().filter(|e| **e == PieceEnd::Room).count(),
+                gone = ends.iter().filter(|e| **e == PieceEnd::Gone).count(),
+                queued = lock(&service.state).batcher.queued()
+            ),
+            end => note!(
                 logs::Event::StageCallFailed,
                 service = %service.name,
                 target = %target,
                 end = ?end
-            );
+            ),
         }
         self.feed(service, Event::Ended(call, end));
     }
@@ -308,28 +327,45 @@
             return None;
         }
         let now = self.core.clock.now();
-        let here = match lock(&self.services).get(service) {
-            Some(service) => lock(&service.state).batcher.wait(now).unwrap_or(Ms::MAX),
-            None => return None,
-        };
         let shape = self.core.catalog()?.service(service)?.batch.clone()?;
-        let mut far = lock(&self.far);
-        let fresh =
-            far.iter_mut().filter(|((s, _), (at, _))| s == service && now - *at <= LOAD_AGE);
-        let ((_, region), (_, wait)) = fresh.min_by_key(|(_, (_, wait))| *wait)?;
-        if here <= *wait + FAR_COST {
-            return None;
+        let known = lock(&self.services).get(service).cloned();
+        let here = match known {
+            Some(service) => lock(&service.state).batcher.wait(now),
+            None => (!self.places(service).is_empty()).then_some(Ms::ZERO),
+        };
+        let far = lock(&self.far).iter().filter(|((s, _), _)| s == service).fold(
+            None,
+            |best: Option<(Ms, RegionId)>, ((_, region), (at, wait))| match best {
+                _ if now - *at > LOAD_AGE => best,
+                Some((least, _)) if least <= *wait => best,
+                _ => Some((*wait, region.clone())),
+            },
+        );
+        let region = match (here, far) {
+            (Some(here), Some((wait, _))) if here <= wait + FAR_COST => return None,
+            (_, Some((_, region))) => region,
+            (Some(_), None) => return None,
+            // Nothing here, and no word of the others yet: any that has a target.
+            (None, None) => self.region_with_target(service, &work.request)?,
+        };
+        if let Some((_, wait)) = lock(&self.far).get_mut(&(service.clone(), region.clone())) {
+            // What goes there now is not in its load yet.
+            *wait += Ms((shape.call_ms * f64::from(work.pieces) / shape.size as f64) as u64);
         }
-        // What goes there now is not in its load yet.
-        *wait += Ms((shape.call_ms * f64::from(work.pieces) / shape.size as f64) as u64);
-        let region = region.clone();
-        drop(far);
         match self.core.members.owner(&self.core.settings(), service, &region)? {
             Owner::Me => None,
             owner => Some((region, owner)),
         }
     }
 
+    fn region_with_target(&self, service: &PoolId, request: &str) -> Option<RegionId> {
+        let links = self.core.links();
+        let settings = self.core.settings();
+        let targets = links.of(service);
+        let draw = base::hash_parts(&[request.as_bytes()]) as usize % targets.len().max(1);
+        settings.region_of(&targets.get(draw)?.entry.domain).cloned()
+    }
+
     async fn pass_on(
         &self,
         service: &PoolId,
--- a/crates/edge/src/members.rs
+++ b/crates/edge/src/members.rs
@@ -106,6 +106,16 @@
         })
     }
 
+    /// Whether another host composes the calls of a service in a region.
+    pub(crate) fn composes(
+        &self,
+        settings: &Settings,
+        service: &PoolId,
+        region: &RegionId,
+    ) -> bool {
+        matches!(self.owner(settings, service, region), Some(Owner::Peer { .. }))
+    }
+
     /// A call to this host failed: for a while it composes nothing for this one.
     pub(crate) fn suspect(&self, host: &HostId) {
         let until = self.clock.now() + SUSPECT;
--- a/crates/logs/src/event.rs
+++ b/crates/logs/src/event.rs
@@ -3,6 +3,8 @@
 /// How bad an event is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Level {
+    /// Detail for a closer look; not written by default.
+    Debug,
     /// Part of ordinary running.
     Info,
     /// Something failed and the system dealt with it.
@@ -72,6 +74,7 @@
     TargetGone = 309, Info, "A target's registration is gone; it gets nothing new.";
     StageCallFailed = 310, Warn, "A call to a stage target ended without results; its pieces are made again.";
     EntryMalformed = 311, Warn, "A registration can't be read; it names no target to use.";
+    StageCallEnded = 312, Debug, "A call to a stage target ended: what was made, and what still waits.";
     JournalUnavailable = 400, Warn, "A key could not be recorded; its request was refused.";
     FinishRetried = 401, Warn, "How a keyed request ended could not be recorded yet; it is tried again.";
     FinishLost = 402, Error, "How a keyed request ended could not be recorded; re-sends are told that it is unknown.";
--- a/crates/logs/src/lib.rs
+++ b/crates/logs/src/lib.rs
@@ -18,6 +18,9 @@
     ($event:expr $(, $($field:tt)*)?) => {{
         let event: $crate::Event = $event;
         match event.level() {
+            $crate::Level::Debug => $crate::tracing::debug!(
+                event = event.number(), name = event.name() $(, $($field)*)?
+            ),
             $crate::Level::Info => $crate::tracing::info!(
                 event = event.number(), name = event.name() $(, $($field)*)?
             ),
