--- a/crates/edge/src/composer.rs
+++ b/crates/edge/src/composer.rs
@@ -111,7 +111,8 @@
             }
         }
         let submitted = ids.iter().copied().zip(pieces).collect();
-        let withdraw = Withdraw { composer: self.clone(), service: service.clone(), ids };
+        let withdraw =
+            Withdraw { composer: self.clone(), service: service.clone(), submission, ids };
         self.feed(&service, Event::Submit(submitted));
         let results = results.await.unwrap_or_default();
         withdraw.close();
@@ -474,10 +475,11 @@
 /// The composer, for other hosts.
 pub(crate) struct StageService(pub(crate) Arc<Composer>);
 
-/// Withdraws pieces that nobody waits for any more.
+/// Withdraws pieces that nobody waits for any more, and gives up those that are made.
 struct Withdraw {
     composer: Arc<Composer>,
     service: Arc<Service>,
+    submission: Shared<Submission>,
     ids: Vec<PieceId>,
 }
 
@@ -499,6 +501,11 @@
             ids.iter().for_each(|id| drop(state.waiting.remove(id)));
         }
         self.composer.feed(&self.service, Event::Withdraw(ids));
+        // Left to their time to live, results that nobody reads would take others' room.
+        let made = std::mem::take(&mut lock(&self.submission).results);
+        let made = made.into_iter().filter(|r| !r.handle.is_empty());
+        let unread = made.map(|r| (r.target.into(), r.handle)).collect();
+        self.composer.free_results(&self.service, unread);
     }
 }
 
--- a/crates/edge/src/core.rs
+++ b/crates/edge/src/core.rs
@@ -44,6 +44,7 @@
     poison: Mutex<Poison>,
     estimate: Mutex<Estimate>,
     stopping: AtomicBool,
+    cautious: AtomicU64,
     open: AtomicU64,
     draws: AtomicU64,
 }
@@ -91,6 +92,7 @@
             poison: Mutex::default(),
             estimate: Mutex::default(),
             stopping: AtomicBool::new(false),
+            cautious: AtomicU64::new(0),
             open: AtomicU64::new(0),
         }
     }
@@ -206,6 +208,16 @@
         current && !self.stopping() && self.links().ready() > 0
     }
 
+    /// Until when results are kept until an engine's answer begins.
+    pub(crate) fn cautious_until(&self) -> Ms {
+        Ms(self.cautious.load(Ordering::Relaxed))
+    }
+
+    /// Results were given up before an engine had read them.
+    pub(crate) fn be_cautious(&self, until: Ms) {
+        self.cautious.store(until.0, Ordering::Relaxed);
+    }
+
     pub(crate) fn stop(&self) {
         self.stopping.store(true, Ordering::Relaxed);
     }
--- a/crates/edge/src/dialect.rs
+++ b/crates/edge/src/dialect.rs
@@ -95,6 +95,8 @@
     pub signed: bool,
     /// Whether it says that the target did not run the request.
     pub not_run: bool,
+    /// Whether it did not run it because inputs are gone.
+    pub inputs_gone: bool,
     /// Whether the address belongs to another target now.
     pub moved: bool,
     /// Whether the body is in a coding that nobody asked for.
--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -12,7 +12,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use thiserror::Error;
 use tokio::net::TcpListener;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio::task::JoinHandle;
 use wire::Crash;
 
@@ -28,6 +28,9 @@
 /// Time for which a stopping host goes on taking requests, ms: the platform asks every second, and
 /// sends nobody any more after two answers that the host isn't ready.
 const LEAVE: Ms = Ms(2_600);
+/// Time after which a stopping host gives up requests that no engine has yet, ms. Their callers can
+/// still be served elsewhere; a stream that begins now needs some seconds to end.
+const GIVE_UP: Ms = Ms(4_500);
 /// Time kept back from the platform's grace, ms, to close what is left and exit.
 const GRACE_REST: Ms = Ms(400);
 /// Time for which crashes are gathered before the others are told, ms.
@@ -63,9 +66,17 @@
     pub(crate) core: Arc<Core>,
     pub(crate) composer: Arc<Composer>,
     closed: AtomicBool,
+    /// True when requests that no engine has are given up.
+    giving_up: watch::Sender<bool>,
 }
 
 impl App {
+    /// Ends when requests that no engine has are given up.
+    pub(crate) async fn giving_up(&self) {
+        // The sender lives in `self`, so the wait can't fail.
+        let _ = self.giving_up.subscribe().wait_for(|now| *now).await;
+    }
+
     /// Whether new requests are refused, since the host is about to go.
     pub(crate) fn closed(&self) -> bool {
         self.closed.load(Ordering::Relaxed)
@@ -109,6 +120,7 @@
             core: core.clone(),
             composer: composer.clone(),
             closed: AtomicBool::new(false),
+            giving_up: watch::Sender::new(false),
         });
         let tasks = vec![
             tokio::spawn(follow::catalog(core.clone(), directory.clone())),
@@ -159,8 +171,14 @@
         tokio::time::sleep(LEAVE.min(grace).duration()).await;
         self.app.closed.store(true, Ordering::Relaxed);
         self.callers.stop.stop();
+        let app = self.app.clone();
+        let give_up = tokio::spawn(async move {
+            tokio::time::sleep((GIVE_UP - LEAVE).duration()).await;
+            app.giving_up.send_replace(true);
+        });
         let rest = end - core.clock.now();
         let finished = tokio::time::timeout(rest.duration(), self.callers.task).await.is_ok();
+        give_up.abort();
         let cut = if finished { 0 } else { core.open().load(Ordering::Relaxed) };
         if !finished {
             note!(logs::Event::DrainOverrun, open = cut);
--- a/crates/edge/src/results.rs
+++ b/crates/edge/src/results.rs
@@ -3,14 +3,20 @@
 //! A stage target holds a handful of large results. One that is left to its time to live takes the
 //! place of a new one for seconds, and calls fail for want of room.
 
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use base::PoolId;
+use base::{Ms, PoolId};
 use wire::{PieceResult, StageFree};
 
 use crate::host::App;
 use crate::members::Owner;
 
+/// Time in which an engine reads its inputs, ms: the way there, and there and back to a target in
+/// another region, and the bytes.
+const READ_TIME: Ms = Ms(100);
+/// See [`Results::free_soon`], ms.
+const CAUTION: Ms = Ms::secs(10);
+
 /// Results of one stage.
 #[derive(Clone, Debug)]
 pub(crate) struct StageOutput {
@@ -26,18 +32,18 @@
 pub(crate) struct Results {
     app: Arc<App>,
     handles: Vec<String>,
-    held: Vec<StageOutput>,
+    held: Mutex<Vec<StageOutput>>,
 }
 
 impl Results {
     /// Nothing yet.
     pub(crate) fn new(app: Arc<App>) -> Self {
-        Self { app, handles: Vec::new(), held: Vec::new() }
+        Self { app, handles: Vec::new(), held: Mutex::default() }
     }
 
     /// Holds the results of a stage.
-    pub(crate) fn hold(&mut self, output: StageOutput) {
-        self.held.push(output);
+    pub(crate) fn hold(&self, output: StageOutput) {
+        lock(&self.held).push(output);
     }
 
     /// Sets the handles that the engine gets.
@@ -50,9 +56,45 @@
         &self.handles
     }
 
+    /// Gives everything up a little later, when the engine that was just sent the handles has read
+    /// the results.
+    ///
+    /// An engine reads its inputs before the prompt, and answers only with its first token. Kept
+    /// until then, results of a burst of long prompts fill the stage targets, and calls shrink to
+    /// half: the stage loses a third of what it can do. Where an engine turns out to read later, it
+    /// says that its inputs are gone; the stages are done again, and for [`CAUTION`] results are
+    /// kept until the answer begins.
+    pub(crate) fn free_soon(&self) {
+        let core = &self.app.core;
+        if core.clock.now() < core.cautious_until() {
+            return;
+        }
+        let held = std::mem::take(&mut *lock(&self.held));
+        if held.is_empty() {
+            return;
+        }
+        let app = self.app.clone();
+        tokio::spawn(async move {
+            tokio::time::sleep(READ_TIME.duration()).await;
+            held.into_iter().for_each(|output| free(&app, output));
+        });
+    }
+
+    /// The first engine that got the handles says that its inputs are gone: engines read later
+    /// than expected.
+    pub(crate) fn read_late(&self) {
+        let core = &self.app.core;
+        core.be_cautious(core.clock.now() + CAUTION);
+    }
+
+    /// Whether the handles are of no use to another engine any more.
+    pub(crate) fn given_up(&self) -> bool {
+        !self.handles.is_empty() && lock(&self.held).is_empty()
+    }
+
     /// Gives up everything that is held.
-    pub(crate) fn free(&mut self) {
-        for output in self.held.drain(..) {
+    pub(crate) fn free(&self) {
+        for output in std::mem::take(&mut *lock(&self.held)) {
             free(&self.app, output);
         }
     }
@@ -64,6 +106,10 @@
     }
 }
 
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// Gives up one stage's results.
 pub(crate) fn free(app: &Arc<App>, output: StageOutput) {
     let StageOutput { service, owner, results } = output;
--- a/crates/edge/src/stages.rs
+++ b/crates/edge/src/stages.rs
@@ -19,6 +19,9 @@
 /// How early a stage beside a longer chain begins, as a multiple of its expected time: late, it
 /// would hold the whole request up.
 const EARLY: (u64, u64) = (3, 2);
+/// Time for which a result must still lie at its target when the call that reads it begins, ms:
+/// its life was counted from its call's end, and the word of it took a while.
+const LIFE_REST: Ms = Ms(300);
 /// Time between looks at a stage that is held back, ms.
 const LOOK: Ms = Ms(50);
 /// Times that a stage is done again because results that it read are gone.
@@ -38,15 +41,8 @@
 /// Does all stages. Gives their results; the request itself has not run.
 pub(crate) async fn run(app: &Arc<App>, call: &Call) -> Result<Results, Reason> {
     let mut run = Run::new(app, call);
-    let ended = run.finish().await;
-    let Run { held, done, .. } = run;
-    let mut results = Results::new(app.clone());
-    let last = call.route.last_stages().filter_map(|i| done[i].as_ref());
-    results.set_handles(last.flat_map(|h| h.iter().cloned()).collect());
-    // What a failed request holds is given up with `results`.
-    held.into_iter().flatten().for_each(|output| results.hold(output));
-    match ended {
-        Ok(()) => Ok(results),
+    match run.finish().await {
+        Ok(()) => Ok(run.close()),
         Err(_) if call.left(app.core.clock.now()) == Ms::ZERO => Err(Reason::NoTime),
         Err(StageFault::Late) => Err(Reason::NoTime),
         Err(StageFault::Gone | StageFault::Failed) => Err(Reason::Stages),
@@ -65,6 +61,8 @@
     /// Handles by stage, once it is done.
     done: Vec<Option<Arc<[String]>>>,
     held: Vec<Option<StageOutput>>,
+    /// Until when results lie at their targets.
+    lives: Vec<Option<Ms>>,
     begun: Vec<Option<Ms>>,
     working: FuturesUnordered<Working>,
     redone: u32,
@@ -92,11 +90,22 @@
             done: vec![None; count],
             held: vec![None; count],
             begun: vec![None; count],
+            lives: vec![None; count],
             working: FuturesUnordered::new(),
             redone: 0,
         }
     }
 
+    /// What the engine gets.
+    fn close(mut self) -> Results {
+        let mut results = Results::new(self.app.clone());
+        let last = self.call.route.last_stages().filter_map(|i| self.done[i].as_ref());
+        results.set_handles(last.flat_map(|h| h.iter().cloned()).collect());
+        let held = self.held.iter_mut().filter_map(Option::take);
+        held.for_each(|output| results.hold(output));
+        results
+    }
+
     async fn finish(&mut self) -> Result<(), StageFault> {
         loop {
             let held_back = self.begin();
@@ -111,6 +120,8 @@
             match ended {
                 Ok(output) => self.ended(i, output),
                 Err(StageFault::Gone) if self.redone < REDONE => self.redo(i),
+                // Its inputs went while it waited, and there is time to make them again.
+                Err(StageFault::Late) if self.redone < REDONE && self.outlived(i) => self.redo(i),
                 Err(fault) => return Err(fault),
             }
         }
@@ -174,6 +185,7 @@
         let due = self.call.arrived + self.call.route.aim - self.after[i];
         // The stages after it need at least their bare time.
         let expires = self.call.deadline - self.after[i].scale(1, 2);
+        let expires = stage.after.iter().filter_map(|a| self.lives[*a]).fold(expires, Ms::min);
         let inputs = stage.after.iter().filter_map(|a| self.done[*a].as_ref());
         StageWork {
             service: stage.service.as_str().to_owned(),
@@ -197,6 +209,8 @@
             self.app.core.estimate().record(service, now - begun);
             self.app.core.metrics.stage(service.as_str(), now - begun);
         }
+        let keep = batch(self.call, service).map(|b| b.keep);
+        self.lives[i] = keep.map(|keep| now + keep - LIFE_REST);
         self.done[i] = Some(output.results.iter().map(|r| r.handle.clone()).collect());
         self.held[i] = Some(output);
         // Stages that no one reads any more are given up at once.
@@ -218,6 +232,14 @@
         }
     }
 
+    /// Whether a stage is late only because of what it reads.
+    fn outlived(&self, i: usize) -> bool {
+        let now = self.app.core.clock.now();
+        let after = &self.call.route.stages[i].after;
+        let gone = after.iter().any(|a| self.lives[*a].is_some_and(|until| until <= now));
+        gone && self.call.deadline - now > self.after[i] + self.times[i]
+    }
+
     /// What this stage read is gone: it and what it reads are done again.
     fn redo(&mut self, i: usize) {
         self.redone += 1;
@@ -226,11 +248,19 @@
         for before in self.call.route.stages[i].after.clone() {
             self.give_up(before);
             self.done[before] = None;
+            self.lives[before] = None;
             self.begun[before] = None;
         }
     }
 }
 
+impl Drop for Run<'_> {
+    /// A request that failed, or whose caller has gone, holds nothing any more.
+    fn drop(&mut self) {
+        (0..self.held.len()).for_each(|i| self.give_up(i));
+    }
+}
+
 fn batch<'a>(call: &'a Call, service: &PoolId) -> Option<&'a Batch> {
     call.catalog.service(service)?.batch.as_ref()
 }
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -37,15 +37,22 @@
 /// Runs it and gives the caller's answer; the events follow as the answer's body.
 pub(crate) async fn run(app: Arc<App>, call: Call) -> Response<Out> {
     let core = app.core.clone();
-    let results = match stages::run(&app, &call).await {
+    let done = tokio::select! {
+        done = stages::run(&app, &call) => done,
+        // Begun now, its stream would be cut when the host's time is over.
+        () = app.giving_up() => Err(Reason::Stopping),
+    };
+    let results = match done {
         Ok(results) => results,
         Err(reason) => return refused(&core, &call, reason, 0),
     };
     let last = call.ask.last_event;
     let mut relay = Relay {
+        app,
         core,
         call,
         results,
+        redone: false,
         tried: Vec::new(),
         runs: 0,
         events: EventStream::new(last),
@@ -109,9 +116,11 @@
 
 /// One caller's stream over all engines that run it.
 struct Relay {
+    app: Arc<App>,
     core: Arc<Core>,
     call: Call,
     results: Results,
+    redone: bool,
     tried: Vec<Arc<Link>>,
     runs: u32,
     events: EventStream,
@@ -132,6 +141,12 @@
                 Sent::Streams(parts) => return Started::Streams(*parts),
                 Sent::Answer(response) => return Started::Answer(response),
                 Sent::NotRun => {}
+                Sent::Gone if self.redone => return Started::Refused(Reason::Stages),
+                Sent::Gone => {
+                    if let Err(reason) = self.redo_stages().await {
+                        return Started::Refused(reason);
+                    }
+                }
                 Sent::Lost if self.may_resume() => {}
                 Sent::Lost => {
                     let left = self.call.left(self.core.clock.now());
@@ -147,6 +162,13 @@
         }
     }
 
+    /// Does the stages again, once: what they made is gone.
+    async fn redo_stages(&mut self) -> Result<(), Reason> {
+        self.redone = true;
+        self.results = stages::run(&self.app, &self.call).await?;
+        Ok(())
+    }
+
     fn may_resume(&self) -> bool {
         self.call.route.repeat.is_idempotent() && self.runs < self.call.route.attempts
     }
@@ -172,7 +194,10 @@
         };
         let (core, call) = (&self.core, &self.call);
         let (inputs, last) = (self.results.handles(), self.events.last());
-        let build = || call.onward(headers(core, call, &link, inputs, last));
+        let build = || {
+            self.results.free_soon();
+            call.onward(headers(core, call, &link, inputs, last))
+        };
         match send(core, &link, &call.ask.id, wait, build).await {
             Ok(answered) => self.answered(link, now, answered).await,
             Err(fault) => {
@@ -191,6 +216,17 @@
     async fn answered(&mut self, link: Arc<Link>, since: Ms, answered: Answered) -> Sent {
         let Answered { head, parts, body, lease } = answered;
         let now = self.core.clock.now();
+        if head.inputs_gone {
+            note!(logs::Event::InputsGone, request = %self.call.ask.id, target = link.name());
+            if self.tried.len() == 1 {
+                self.results.read_late();
+            }
+            self.results.free();
+            // The engine is sound: it may be asked again.
+            self.tried.pop();
+            lease.close();
+            return Sent::Gone;
+        }
         if head.not_run {
             let outcome = if head.moved { Outcome::NoConnection } else { Outcome::Full };
             link.record(now, outcome);
@@ -299,12 +335,17 @@
         }
         self.events.restart();
         while self.may_resume() {
+            // The next engine needs the results of its stages too.
+            if self.results.given_up() && (self.redone || self.redo_stages().await.is_err()) {
+                break;
+            }
             let left = self.call.left(self.core.clock.now());
             if left == Ms::ZERO {
                 break;
             }
             match self.send(left).await {
                 Sent::Streams(_) => {
+                    self.results.free();
                     note!(
                         logs::Event::StreamResumed,
                         request = %self.call.ask.id,
@@ -312,7 +353,7 @@
                     );
                     return Ok(());
                 }
-                Sent::NotRun | Sent::Lost => {}
+                Sent::NotRun | Sent::Lost | Sent::Gone => {}
                 Sent::Answer(_) | Sent::NoTarget => break,
             }
         }
@@ -332,6 +373,8 @@
     Streams(Box<hyper::http::response::Parts>),
     Answer(Box<Response<Out>>),
     NotRun,
+    /// Not run: its inputs are gone.
+    Gone,
     Lost,
     NoTarget,
 }
--- a/crates/sched/src/batch/mod.rs
+++ b/crates/sched/src/batch/mod.rs
@@ -282,6 +282,20 @@
         if let Some(target) = self.targets.get_mut(&id) {
             target.ended(now, call, &end, self.shape.keep);
         }
+        self.take_end(now, &id, pieces, end, out);
+        if let Some(target) = self.targets.get_mut(&id) {
+            target.settle(now, self.shape.room);
+        }
+    }
+
+    fn take_end(
+        &mut self,
+        now: Ms,
+        id: &TargetId,
+        pieces: Vec<PieceId>,
+        end: CallEnd,
+        out: &mut Vec<Effect>,
+    ) {
         match end {
             CallEnd::Done(ends) => {
                 let sound = ends.len() == pieces.len();
@@ -289,7 +303,7 @@
                 for (piece, end) in pieces.into_iter().zip(ends) {
                     match end {
                         Some(PieceEnd::Made(handle)) if sound => {
-                            self.made(now, &id, piece, handle, out);
+                            self.made(now, id, piece, handle, out);
                         }
                         Some(PieceEnd::Gone) if sound => self.finish(piece, PieceEnd::Gone, out),
                         Some(PieceEnd::Late) if sound => self.finish(piece, PieceEnd::Late, out),
--- a/crates/sched/src/batch/target.rs
+++ b/crates/sched/src/batch/target.rs
@@ -29,9 +29,10 @@
 /// Pause after the target said that it is full, ms: another composer has a call there.
 const FULL_PAUSE: Ms = Ms(60);
 
-/// Time for which a target that had no room is left alone, ms: about the time in which a call's
-/// results are read and given up.
-const ROOM_PAUSE: Ms = Ms(150);
+/// Time for which a target that had no room is taken to be full beside the results that are known
+/// here, ms: others' results are those of a composer that has gone, and are given up or replaced
+/// in about this time.
+const FOREIGN: Ms = Ms(800);
 
 #[derive(Debug)]
 struct Open {
@@ -52,7 +53,9 @@
     open: Vec<Open>,
     speed: f64,
     pause: Ms,
-    crowded: Ms,
+    /// When it had no room last though there should have been some: results of others lie there.
+    foreign: Option<Ms>,
+    others: u64,
     failures: u32,
     last: Ms,
     kept: HashMap<String, (Ms, u64)>,
@@ -67,7 +70,8 @@
             open: Vec::new(),
             speed: 1.0,
             pause: Ms::ZERO,
-            crowded: Ms::ZERO,
+            foreign: None,
+            others: 0,
             failures: 0,
             last: Ms::ZERO,
             kept: HashMap::new(),
@@ -80,7 +84,7 @@
     }
 
     pub(super) fn usable(&self, now: Ms) -> bool {
-        self.live && self.pause <= now && self.crowded <= now
+        self.live && self.pause <= now
     }
 
     /// Whether a call sent now starts at once, or right after the one under way.
@@ -130,8 +134,7 @@
             CallEnd::Done(ends) => {
                 self.failures = 0;
                 if ends.contains(&PieceEnd::Room) {
-                    // Others keep results there too, or they are larger than declared.
-                    self.crowded = now + ROOM_PAUSE;
+                    self.foreign = Some(now);
                 }
                 let Some(open) = open else { return };
                 if ends.iter().all(|end| *end == PieceEnd::Room) {
@@ -171,7 +174,8 @@
 
     /// Times at which something about it changes.
     pub(super) fn wakes(&self, now: Ms) -> Vec<Ms> {
-        let mut out = vec![self.pause, self.crowded];
+        let mut out = vec![self.pause];
+        out.extend(self.foreign.map(|at| at + FOREIGN));
         out.extend(self.kept.values().map(|(until, _)| *until).min());
         for open in &self.open {
             out.push(open.expected - LEAD);
@@ -193,9 +197,21 @@
         self.kept.remove(handle);
     }
 
+    /// Learns from a call that found no room that all but what is known is others'.
+    pub(super) fn settle(&mut self, now: Ms, room: u64) {
+        if self.foreign == Some(now) {
+            self.others = 0;
+            self.others = room.saturating_sub(self.kept(now));
+        }
+    }
+
     /// Bytes of results there, those of calls under way included.
     pub(super) fn kept(&self, now: Ms) -> u64 {
         let made = self.kept.values().filter(|(until, _)| *until > now).map(|(_, bytes)| bytes);
-        made.sum::<u64>() + self.open.iter().map(|o| o.bytes).sum::<u64>()
+        let others = match self.foreign {
+            Some(at) if now - at < FOREIGN => self.others,
+            _ => 0,
+        };
+        made.sum::<u64>() + self.open.iter().map(|o| o.bytes).sum::<u64>() + others
     }
 }
