--- a/crates/edge/src/composer.rs
+++ b/crates/edge/src/composer.rs
@@ -277,6 +277,10 @@
         target: &TargetId,
         end: CallEnd,
     ) {
+        let (queued, kept) = {
+            let state = lock(&service.state);
+            (state.batcher.queued(), state.batcher.kept(self.core.clock.now(), target))
+        };
         match &end {
             CallEnd::Done(ends) => note!(
                 logs::Event::StageCallEnded,
@@ -286,7 +290,8 @@
                 made = ends.iter().filter(|e| matches!(e, PieceEnd::Made(_))).count(),
                 no_room = ends.iter().filter(|e| **e == PieceEnd::Room).count(),
                 gone = ends.iter().filter(|e| **e == PieceEnd::Gone).count(),
-                queued = lock(&service.state).batcher.queued()
+                queued,
+                kept
             ),
             end => note!(
                 logs::Event::StageCallFailed,
--- a/crates/sched/src/batch/mod.rs
+++ b/crates/sched/src/batch/mod.rs
@@ -10,7 +10,7 @@
 //!
 //! 1. pieces at their last chance to meet the caller's deadline, at most [`LAST_SHARE`] of a call,
 //!    so that a long overload can't turn all service into late service;
-//! 2. pieces whose stage can still end in time for the aim, the most urgent first;
+//! 2. pieces whose stage can still end in time for the aim, by rank and then by due time;
 //! 3. pieces that will be late anyway, in the room that is left.
 //!
 //! Without 2 before 3, order by due time alone serves each request just too late under overload.
@@ -21,7 +21,7 @@
 mod order;
 mod target;
 
-pub use order::{LAST_SHARE, RANK_MS};
+pub use order::LAST_SHARE;
 pub use target::{OVERDUE, OVERDUE_SLACK};
 
 use base::{Ms, PoolId, TargetId};
@@ -38,6 +38,12 @@
 /// Weight of a new call in the learned fill: a few calls, about a second.
 const FILL_WEIGHT: f64 = 0.2;
 
+/// Part of a call that must be filled for it not to wait for room, percent.
+const FULL_ENOUGH: usize = 60;
+/// Longest wait for room of a target that idles, ms: half the fixed time of a call. Waiting longer
+/// costs more than the small call.
+const ROOM_WAIT: Ms = Ms(120);
+
 /// A piece at this batcher.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct PieceId(pub u64);
@@ -244,6 +250,11 @@
         free.iter().min().map(|at| *at - now)
     }
 
+    /// Bytes of results at a target, those of calls under way included.
+    pub fn kept(&self, now: Ms, target: &TargetId) -> u64 {
+        self.targets.get(target).map_or(0, |t| t.kept(now))
+    }
+
     /// Pieces that wait for a call.
     pub fn queued(&self) -> usize {
         self.pieces.values().filter(|w| w.queued).count()
@@ -396,13 +407,24 @@
         while self.pieces.values().any(|w| w.queued) {
             let Some(id) = self.free_target(now, &passed) else { return };
             let pieces = self.choose(now, &id);
-            match pieces.is_empty() {
+            match pieces.is_empty() || self.waits_for_room(now, &id, pieces.len()) {
                 true => drop(passed.insert(id)),
                 false => self.call(now, id, pieces, out),
             }
         }
     }
 
+    /// Whether a call should wait for room at its target, since it is far from full only for want
+    /// of it and more pieces wait.
+    ///
+    /// Results lie there until the next stage has read them. Sent at once, small calls alternate
+    /// with full ones, and the fixed time of the small ones is lost when it is needed most.
+    fn waits_for_room(&self, now: Ms, id: &TargetId, chosen: usize) -> bool {
+        let Some(target) = self.targets.get(id) else { return false };
+        let size = self.shape.size.min(self.queued());
+        chosen * 100 < size * FULL_ENOUGH && target.idle(now) < ROOM_WAIT
+    }
+
     fn free_target(&self, now: Ms, passed: &HashSet<TargetId>) -> Option<TargetId> {
         let best = self.targets.values().filter(|t| t.usable(now)).map(Target::speed);
         let best = best.fold(f64::INFINITY, f64::min);
@@ -439,7 +461,7 @@
         let call = target.scaled(self.time(count));
         let end = target.free_at(now) + call;
         let room = self.shape.room.saturating_sub(target.kept(now));
-        order::choose(queued, now, end, call, self.shape.size, room)
+        order::choose(queued, now, end, call, &self.shape, room)
     }
 
     fn call(&mut self, now: Ms, id: TargetId, ids: Vec<PieceId>, out: &mut Vec<Effect>) {
--- a/crates/sched/src/batch/order.rs
+++ b/crates/sched/src/batch/order.rs
@@ -1,15 +1,12 @@
 //! Which queued pieces go into a call.
 
 use base::Ms;
+use catalog::Batch;
 
 use super::{Piece, PieceId};
 
 /// Part of a call that pieces at their last chance may fill, percent.
 pub const LAST_SHARE: usize = 50;
-/// How much earlier a piece is ordered for each rank that it is above another, ms: about the time
-/// of a call, so that a more urgent kind goes a call ahead, and a less urgent one still moves.
-pub const RANK_MS: Ms = Ms(300);
-
 /// A piece that waits for a call.
 pub(super) struct Queued<'a> {
     pub(super) id: PieceId,
@@ -24,16 +21,16 @@
     Late,
 }
 
-/// At most `size` pieces whose results fit into `room` bytes, for a call that ends at `end` and
-/// takes `call`.
+/// Pieces whose results fit into `room` bytes, for a call that ends at `end` and takes `call`.
 pub(super) fn choose(
     mut queued: Vec<Queued<'_>>,
     now: Ms,
     end: Ms,
     call: Ms,
-    size: usize,
+    shape: &Batch,
     room: u64,
 ) -> Vec<PieceId> {
+    let size = shape.size;
     let band = |q: &Queued<'_>| match q.piece {
         piece if piece.due >= end => Band::OnTime,
         // The next call would end too late for the caller's own deadline.
@@ -41,18 +38,17 @@
         _ => Band::Late,
     };
     let key = |q: &Queued<'_>| {
-        let rank = RANK_MS.scale(u64::from(q.piece.rank), 1);
         let band = band(q);
-        let time = match band {
-            Band::Last => q.piece.expires,
-            Band::OnTime => q.piece.due + rank,
-            Band::Late => q.since + rank,
+        let (rank, time) = match band {
+            Band::Last => (0, q.piece.expires),
+            Band::OnTime => (q.piece.rank, q.piece.due),
+            Band::Late => (q.piece.rank, q.since),
         };
         // Pieces of one request stay together: a part of them is of no use.
-        (band, time, q.piece.request.clone(), q.piece.index)
+        (band, rank, time, q.piece.request.clone(), q.piece.index)
     };
     queued.sort_by_cached_key(key);
-    let mut call = Call { size, room, out: Vec::new(), used: 0 };
+    let mut call = Call { size, room, all_room: shape.room, out: Vec::new(), used: 0 };
     let most_last = (size * LAST_SHARE / 100).max(1);
     let mut held = Vec::new();
     // Pieces of one request stand together after sorting.
@@ -72,6 +68,7 @@
 struct Call {
     size: usize,
     room: u64,
+    all_room: u64,
     out: Vec<PieceId>,
     used: u64,
 }
@@ -79,11 +76,12 @@
 impl Call {
     /// Takes a request's pieces if they all fit, so that they are made together: results of a part
     /// lie at their target until the rest is made elsewhere, and nobody can use them. One with
-    /// more pieces than a call has places begins an empty call.
+    /// more pieces than a call has places, or a target has room for, begins an empty call.
     fn take(&mut self, request: &[Queued<'_>]) {
         let bytes: u64 = request.iter().map(|q| q.piece.bytes).sum();
         let fits = self.out.len() + request.len() <= self.size && self.used + bytes <= self.room;
-        if !fits && !self.out.is_empty() {
+        let larger = request.len() > self.size || bytes > self.all_room;
+        if !fits && !(larger && self.out.is_empty()) {
             return;
         }
         for q in request {
