--- a/crates/edge/src/stages.rs
+++ b/crates/edge/src/stages.rs
@@ -19,9 +19,6 @@
 /// How early a stage beside a longer chain begins, as a multiple of its expected time: late, it
 /// would hold the whole request up.
 const EARLY: (u64, u64) = (3, 2);
-/// Time for which a result must still lie at its target when the call that reads it begins, ms:
-/// its life was counted from its call's end, and the word of it took a while.
-const LIFE_REST: Ms = Ms(300);
 /// Time between looks at a stage that is held back, ms.
 const LOOK: Ms = Ms(50);
 /// Times that a stage is done again because results that it read are gone.
@@ -61,8 +58,6 @@
     /// Handles by stage, once it is done.
     done: Vec<Option<Arc<[String]>>>,
     held: Vec<Option<StageOutput>>,
-    /// Until when results lie at their targets.
-    lives: Vec<Option<Ms>>,
     begun: Vec<Option<Ms>>,
     working: FuturesUnordered<Working>,
     redone: u32,
@@ -90,7 +85,6 @@
             done: vec![None; count],
             held: vec![None; count],
             begun: vec![None; count],
-            lives: vec![None; count],
             working: FuturesUnordered::new(),
             redone: 0,
         }
@@ -117,16 +111,31 @@
                 },
             };
             let Some((i, ended)) = next else { return Ok(()) };
+            self.note(i, ended.as_ref().err());
             match ended {
                 Ok(output) => self.ended(i, output),
                 Err(StageFault::Gone) if self.redone < REDONE => self.redo(i),
-                // Its inputs went while it waited, and there is time to make them again.
-                Err(StageFault::Late) if self.redone < REDONE && self.outlived(i) => self.redo(i),
                 Err(fault) => return Err(fault),
             }
         }
     }
 
+    fn note(&self, i: usize, fault: Option<&StageFault>) {
+        let now = self.app.core.clock.now();
+        let due = self.call.arrived + self.call.route.aim - self.after[i];
+        note!(
+            logs::Event::StageEnded,
+            request = %self.call.ask.id,
+            stage = i,
+            service = %self.call.route.stages[i].service,
+            pieces = self.call.ask.pieces.get(i).copied().unwrap_or(1),
+            fault = ?fault,
+            took_ms = self.begun[i].map(|begun| (now - begun).0),
+            late_ms = (now - due).0,
+            left_ms = self.call.left(now).0
+        );
+    }
+
     /// Hands in every stage whose inputs are there and whose time has come. Says whether one is
     /// held back.
     fn begin(&mut self) -> bool {
@@ -185,7 +194,6 @@
         let due = self.call.arrived + self.call.route.aim - self.after[i];
         // The stages after it need at least their bare time.
         let expires = self.call.deadline - self.after[i].scale(1, 2);
-        let expires = stage.after.iter().filter_map(|a| self.lives[*a]).fold(expires, Ms::min);
         let inputs = stage.after.iter().filter_map(|a| self.done[*a].as_ref());
         StageWork {
             service: stage.service.as_str().to_owned(),
@@ -209,8 +217,6 @@
             self.app.core.estimate().record(service, now - begun);
             self.app.core.metrics.stage(service.as_str(), now - begun);
         }
-        let keep = batch(self.call, service).map(|b| b.keep);
-        self.lives[i] = keep.map(|keep| now + keep - LIFE_REST);
         self.done[i] = Some(output.results.iter().map(|r| r.handle.clone()).collect());
         self.held[i] = Some(output);
         // Stages that no one reads any more are given up at once.
@@ -232,14 +238,6 @@
         }
     }
 
-    /// Whether a stage is late only because of what it reads.
-    fn outlived(&self, i: usize) -> bool {
-        let now = self.app.core.clock.now();
-        let after = &self.call.route.stages[i].after;
-        let gone = after.iter().any(|a| self.lives[*a].is_some_and(|until| until <= now));
-        gone && self.call.deadline - now > self.after[i] + self.times[i]
-    }
-
     /// What this stage read is gone: it and what it reads are done again.
     fn redo(&mut self, i: usize) {
         self.redone += 1;
@@ -248,7 +246,6 @@
         for before in self.call.route.stages[i].after.clone() {
             self.give_up(before);
             self.done[before] = None;
-            self.lives[before] = None;
             self.begun[before] = None;
         }
     }
--- a/crates/logs/src/event.rs
+++ b/crates/logs/src/event.rs
@@ -62,6 +62,7 @@
     StreamCut = 203, Warn, "A stream broke and can't go on; its caller's connection was closed.";
     StageRedone = 204, Info, "Results that a stage reads are gone; they are made again.";
     RequestServed = 205, Info, "A request got its answer; ordinary ones are sampled.";
+    StageEnded = 206, Debug, "A stage of a request ended: how, after what time, and how late for the aim.";
     AnswerMismatch = 300, Warn, "An answer belonged to another request, stage or attempt and was dropped with its connection.";
     ConnectionSilent = 301, Warn, "A connection to a target went silent while the target answers on a new one.";
     TargetDead = 302, Warn, "A target is silent on new connections too.";
--- a/crates/sched/src/batch/mod.rs
+++ b/crates/sched/src/batch/mod.rs
@@ -38,12 +38,6 @@
 /// Weight of a new call in the learned fill: a few calls, about a second.
 const FILL_WEIGHT: f64 = 0.2;
 
-/// Part of a call that must be filled for it not to wait for room, percent.
-const FULL_ENOUGH: usize = 60;
-/// Longest wait for room of a target that idles, ms: half the fixed time of a call. Waiting longer
-/// costs more than the small call.
-const ROOM_WAIT: Ms = Ms(120);
-
 /// A piece at this batcher.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct PieceId(pub u64);
@@ -407,24 +401,13 @@
         while self.pieces.values().any(|w| w.queued) {
             let Some(id) = self.free_target(now, &passed) else { return };
             let pieces = self.choose(now, &id);
-            match pieces.is_empty() || self.waits_for_room(now, &id, pieces.len()) {
+            match pieces.is_empty() {
                 true => drop(passed.insert(id)),
                 false => self.call(now, id, pieces, out),
             }
         }
     }
 
-    /// Whether a call should wait for room at its target, since it is far from full only for want
-    /// of it and more pieces wait.
-    ///
-    /// Results lie there until the next stage has read them. Sent at once, small calls alternate
-    /// with full ones, and the fixed time of the small ones is lost when it is needed most.
-    fn waits_for_room(&self, now: Ms, id: &TargetId, chosen: usize) -> bool {
-        let Some(target) = self.targets.get(id) else { return false };
-        let size = self.shape.size.min(self.queued());
-        chosen * 100 < size * FULL_ENOUGH && target.idle(now) < ROOM_WAIT
-    }
-
     fn free_target(&self, now: Ms, passed: &HashSet<TargetId>) -> Option<TargetId> {
         let best = self.targets.values().filter(|t| t.usable(now)).map(Target::speed);
         let best = best.fold(f64::INFINITY, f64::min);
--- a/crates/sched/src/batch/order.rs
+++ b/crates/sched/src/batch/order.rs
@@ -6,7 +6,7 @@
 use super::{Piece, PieceId};
 
 /// Part of a call that pieces at their last chance may fill, percent.
-pub const LAST_SHARE: usize = 50;
+pub const LAST_SHARE: usize = 25;
 /// A piece that waits for a call.
 pub(super) struct Queued<'a> {
     pub(super) id: PieceId,
--- a/crates/sched/src/batch/target.rs
+++ b/crates/sched/src/batch/target.rs
@@ -3,7 +3,7 @@
 use base::Ms;
 use std::collections::HashMap;
 
-use super::{CallEnd, CallId, PieceEnd, ROOM_WAIT};
+use super::{CallEnd, CallId, PieceEnd};
 
 /// A call is overdue at this multiple of its expected time, plus [`OVERDUE_SLACK`]: pieces of one
 /// service differ by up to three times, and a slow target takes four to eight times as long.
@@ -58,7 +58,6 @@
     others: u64,
     failures: u32,
     last: Ms,
-    idle_since: Ms,
     kept: HashMap<String, (Ms, u64)>,
     keep: Ms,
 }
@@ -75,7 +74,6 @@
             others: 0,
             failures: 0,
             last: Ms::ZERO,
-            idle_since: Ms::ZERO,
             kept: HashMap::new(),
             keep: Ms::ZERO,
         }
@@ -99,11 +97,6 @@
         self.open.iter().map(|o| o.expected).max().unwrap_or(now).max(now)
     }
 
-    /// How long it has had no call.
-    pub(super) fn idle(&self, now: Ms) -> Ms {
-        if self.busy() { Ms::ZERO } else { now - self.idle_since }
-    }
-
     pub(super) fn speed(&self) -> f64 {
         self.speed
     }
@@ -136,7 +129,6 @@
 
     pub(super) fn ended(&mut self, now: Ms, call: CallId, end: &CallEnd, keep: Ms) {
         self.keep = keep;
-        self.idle_since = now;
         let open = self.open.iter().position(|o| o.call == call).map(|i| self.open.remove(i));
         match end {
             CallEnd::Done(ends) => {
@@ -182,7 +174,7 @@
 
     /// Times at which something about it changes.
     pub(super) fn wakes(&self, now: Ms) -> Vec<Ms> {
-        let mut out = vec![self.pause, self.idle_since + ROOM_WAIT];
+        let mut out = vec![self.pause];
         out.extend(self.foreign.map(|at| at + FOREIGN));
         out.extend(self.kept.values().map(|(until, _)| *until).min());
         for open in &self.open {
