--- a/crates/edge/src/composer.rs
+++ b/crates/edge/src/composer.rs
@@ -12,7 +12,8 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use tokio::sync::{Notify, oneshot};
 use wire::{
-    HostNews, PieceFault, PieceResult, StageFree, StageLoad, StageLoads, StageResults, StageWork,
+    HostNews, PieceFault, PieceResult, StageFree, StageLoad, StageLoads, StageRelease,
+    StageResults, StageWork,
 };
 
 use crate::core::{Core, allowance};
@@ -20,6 +21,7 @@
 use crate::links::Link;
 use crate::members::Owner;
 use crate::remote::{self, Missed};
+use crate::results;
 use crate::send::{SendFault, send};
 
 /// Name of the system's own calls in a target's answer; answers that name none are taken too.
@@ -39,9 +41,17 @@
 /// Longest wait between looks at the targets, ms, beside being told of changes.
 const LOOK: Ms = Ms(500);
 
+/// Time after the beginning of a call in which a target reads its inputs, ms: there and back to a
+/// target in another region, and the bytes.
+const READ_TIME: Ms = Ms(80);
+
 /// Pieces of one stage, until all have ended.
 struct Submission {
     left: usize,
+    /// Pieces that were never in a call.
+    unread: usize,
+    /// What they read and nobody else does.
+    release: Vec<StageRelease>,
     results: Vec<PieceResult>,
     done: Option<oneshot::Sender<StageResults>>,
 }
@@ -98,6 +108,8 @@
         let count = work.pieces as usize;
         let submission = Arc::new(Mutex::new(Submission {
             left: count,
+            unread: count,
+            release: work.release.clone(),
             results: vec![PieceResult::default(); count],
             done: Some(done),
         }));
@@ -115,6 +127,9 @@
             Withdraw { composer: self.clone(), service: service.clone(), submission, ids };
         self.feed(&service, Event::Submit(submitted));
         let results = results.await.unwrap_or_default();
+        // What was never read, since the stage failed, is given up all the same.
+        let release = std::mem::take(&mut lock(&withdraw.submission).release);
+        self.release(Ms::ZERO, release);
         withdraw.close();
         results
     }
@@ -250,7 +265,9 @@
         for effect in effects {
             match effect {
                 Effect::Free { target, handle } => unread.push((target, handle)),
-                Effect::Call { call, target, pieces, timeout } => {
+                Effect::Call { call, target, pieces, ids, timeout } => {
+                    let read = ids.iter().flat_map(|id| begun(&mut state, id)).collect();
+                    self.release(READ_TIME, read);
                     self.core.metrics.call(service.name.as_str(), pieces.len());
                     let (composer, service) = (self.clone(), service.clone());
                     tokio::spawn(async move {
@@ -270,6 +287,32 @@
         }
     }
 
+    /// Gives results up that have been read by then.
+    ///
+    /// A target reads the inputs of a call when its turn comes. Kept until the call ends, they lie
+    /// at their own targets for as long again, and calls there shrink to the room that is left:
+    /// the stage before loses a third of what it can do. When the call fails after that, what it
+    /// read is made again.
+    fn release(self: &Arc<Self>, wait: Ms, release: Vec<StageRelease>) {
+        if release.is_empty() {
+            return;
+        }
+        let composer = self.clone();
+        tokio::spawn(async move {
+            tokio::time::sleep(wait.duration()).await;
+            for StageRelease { owner, free } in release {
+                let Some(free) = free else { continue };
+                let addr = owner.parse::<std::net::SocketAddr>();
+                match addr {
+                    Ok(addr) if addr != composer.core.settings().peer => {
+                        results::tell(&composer.core, addr, free).await;
+                    }
+                    _ => composer.free(free),
+                }
+            }
+        });
+    }
+
     fn called(
         self: &Arc<Self>,
         service: &Arc<Service>,
@@ -507,7 +550,11 @@
         }
         self.composer.feed(&self.service, Event::Withdraw(ids));
         // Left to their time to live, results that nobody reads would take others' room.
-        let made = std::mem::take(&mut lock(&self.submission).results);
+        let (made, release) = {
+            let mut submission = lock(&self.submission);
+            (std::mem::take(&mut submission.results), std::mem::take(&mut submission.release))
+        };
+        self.composer.release(Ms::ZERO, release);
         let made = made.into_iter().filter(|r| !r.handle.is_empty());
         let unread = made.map(|r| (r.target.into(), r.handle)).collect();
         self.composer.free_results(&self.service, unread);
@@ -533,6 +580,17 @@
     (0..work.pieces).map(piece).collect()
 }
 
+/// Notes that a piece is in a call. Gives what all pieces of its stage have read then.
+fn begun(state: &mut State, piece: &PieceId) -> Vec<StageRelease> {
+    let Some((submission, _)) = state.waiting.get(piece) else { return Vec::new() };
+    let mut submission = lock(submission);
+    submission.unread = submission.unread.saturating_sub(1);
+    match submission.unread {
+        0 => std::mem::take(&mut submission.release),
+        _ => Vec::new(),
+    }
+}
+
 /// Notes the end of a piece. Gives the results that nobody reads: those of a stage that failed.
 fn ended(
     state: &mut State,
--- a/crates/edge/src/results.rs
+++ b/crates/edge/src/results.rs
@@ -3,11 +3,13 @@
 //! A stage target holds a handful of large results. One that is left to its time to live takes the
 //! place of a new one for seconds, and calls fail for want of room.
 
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use base::{Ms, PoolId};
-use wire::{PieceResult, StageFree};
+use wire::{PieceResult, StageFree, StageRelease};
 
+use crate::core::Core;
 use crate::host::App;
 use crate::members::Owner;
 
@@ -116,15 +118,28 @@
     let free = StageFree { service: service.as_str().to_owned(), results };
     match owner {
         Owner::Me => app.composer.free(free),
-        Owner::Peer { host, addr } => {
-            let app = app.clone();
-            tokio::spawn(async move {
-                // Not heard, the results go when their time to live is over.
-                let freed = app.core.members.peers().free(addr, free).await;
-                if let Err(err) = freed {
-                    logs::note!(logs::Event::PeerFailed, host = %host, call = "free", why = %err);
-                }
-            });
+        Owner::Peer { addr, .. } => {
+            let core = app.core.clone();
+            tokio::spawn(async move { tell(&core, addr, free).await });
         }
     }
 }
+
+/// Tells the host that composed the calls. Not heard, the results go when their time to live is
+/// over.
+pub(crate) async fn tell(core: &Core, addr: SocketAddr, free: StageFree) {
+    if let Err(err) = core.members.peers().free(addr, free).await {
+        logs::note!(logs::Event::PeerFailed, host = %addr, call = "free", why = %err);
+    }
+}
+
+/// One stage's results, for whoever reads them last to give up.
+pub(crate) fn release(core: &Core, output: StageOutput) -> StageRelease {
+    let StageOutput { service, owner, results } = output;
+    let addr = match owner {
+        Owner::Me => core.settings().peer,
+        Owner::Peer { addr, .. } => addr,
+    };
+    let free = StageFree { service: service.as_str().to_owned(), results };
+    StageRelease { owner: addr.to_string(), free: Some(free) }
+}
--- a/crates/edge/src/stages.rs
+++ b/crates/edge/src/stages.rs
@@ -7,14 +7,14 @@
 use futures::stream::FuturesUnordered;
 use logs::note;
 use std::sync::Arc;
-use wire::{PieceFault, StageResults, StageWork};
+use wire::{PieceFault, StageRelease, StageResults, StageWork};
 
 use crate::host::App;
 use crate::members::Owner;
 use crate::refusal::Reason;
 use crate::remote::{self, Missed};
 use crate::request::Call;
-use crate::results::{Results, StageOutput, free};
+use crate::results::{self, Results, StageOutput, free};
 
 /// How early a stage beside a longer chain begins, as a multiple of its expected time: late, it
 /// would hold the whole request up.
@@ -157,7 +157,8 @@
                 continue;
             }
             self.begun[i] = Some(self.app.core.clock.now());
-            let work = self.work(i, pieces);
+            let mut work = self.work(i, pieces);
+            work.release = self.release(i);
             let app = self.app.clone();
             let service = stage.service.clone();
             self.working.push(Box::pin(async move { (i, submit(&app, &service, work).await) }));
@@ -188,6 +189,15 @@
         after.iter().any(|a| *a == from || self.leads_to(from, *a))
     }
 
+    /// What only this stage reads, for its composer to give up.
+    fn release(&mut self, i: usize) -> Vec<StageRelease> {
+        let stages = &self.call.route.stages;
+        let only = |a: &usize| stages.iter().filter(|s| s.after.contains(a)).count() == 1;
+        let mine: Vec<usize> = stages[i].after.iter().copied().filter(only).collect();
+        let held = mine.into_iter().filter_map(|a| self.held[a].take());
+        held.map(|output| results::release(&self.app.core, output)).collect()
+    }
+
     fn work(&self, i: usize, pieces: u32) -> StageWork {
         let stage = &self.call.route.stages[i];
         let now = self.app.core.clock.now();
@@ -207,6 +217,7 @@
             rank: u32::from(self.call.rank()),
             bytes: stage.bytes,
             passed_on: false,
+            release: Vec::new(),
         }
     }
 
--- a/crates/sched/src/batch/mod.rs
+++ b/crates/sched/src/batch/mod.rs
@@ -147,6 +147,8 @@
         target: TargetId,
         /// What to make, in this order.
         pieces: Vec<Piece>,
+        /// The same, by their numbers here.
+        ids: Vec<PieceId>,
         /// When to give it up, ms from now.
         timeout: Ms,
     },
@@ -465,7 +467,7 @@
         }
         let bytes = pieces.iter().map(|p: &Piece| p.bytes).sum();
         let timeout = target.begin(now, call, time, bytes);
-        self.calls.insert(call, (id.clone(), ids));
-        out.push(Effect::Call { call, target: id, pieces, timeout });
+        self.calls.insert(call, (id.clone(), ids.clone()));
+        out.push(Effect::Call { call, target: id, pieces, ids, timeout });
     }
 }
--- a/crates/wire/src/gen/siskinwheel.v1.rs
+++ b/crates/wire/src/gen/siskinwheel.v1.rs
@@ -675,7 +675,7 @@
 /// All pieces of one stage of a request, for the host that composes the calls of its service.
 #[derive(serde::Serialize, serde::Deserialize)]
 #[serde(default)]
-#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+#[derive(Clone, PartialEq, ::prost::Message)]
 pub struct StageWork {
     #[prost(string, tag = "1")]
     pub service: ::prost::alloc::string::String,
@@ -709,6 +709,20 @@
     /// True when a host of another region has passed it on: it is not passed on again.
     #[prost(bool, tag = "11")]
     pub passed_on: bool,
+    /// Results that nobody else reads: given up as soon as all pieces have read them.
+    #[prost(message, repeated, tag = "12")]
+    pub release: ::prost::alloc::vec::Vec<StageRelease>,
+}
+/// Results that are given up at the host that composed the calls that made them.
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(default)]
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct StageRelease {
+    /// Where that host listens; empty for the host that submits the work.
+    #[prost(string, tag = "1")]
+    pub owner: ::prost::alloc::string::String,
+    #[prost(message, optional, tag = "2")]
+    pub free: ::core::option::Option<StageFree>,
 }
 /// One piece's result.
 #[derive(serde::Serialize, serde::Deserialize)]
