Engines fetch a subject's memory from the engine that all hosts name for it

Now a request names the engine that rendezvous hashing over the fleet gives for its subject; what it holds is fetched.

--- a/crates/edge/src/choose.rs
+++ b/crates/edge/src/choose.rs
@@ -41,6 +41,14 @@
     chosen.map(|i| open[i].clone())
 }
 
+/// The engine of the whole fleet that keeps a subject: all hosts name the same one.
+pub(crate) fn home(core: &Core, service: &PoolId, subject: u64) -> Option<Arc<Link>> {
+    let links = core.links();
+    let now = core.clock.now();
+    let usable = links.of(service).iter().filter(|l| l.health().usable(now));
+    base::rendezvous(&subject.to_le_bytes(), usable, |l| l.name()).cloned()
+}
+
 fn candidate<'a>(core: &Core, now: Ms, link: &'a Link) -> Candidate<'a> {
     let health = link.health();
     Candidate {
--- a/crates/edge/src/dialect.rs
+++ b/crates/edge/src/dialect.rs
@@ -4,6 +4,7 @@
 use hyper::http::{request, response};
 use hyper::{HeaderMap, Request, StatusCode};
 use sched::batch::{CallEnd, Piece};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use thiserror::Error;
 
@@ -71,8 +72,8 @@
     pub inputs: &'a [String],
     /// The last event that the caller has.
     pub last_event: Option<u64>,
-    /// Rank among the target's requests.
-    pub priority: Option<u8>,
+    /// Another engine that keeps what requests about this subject have read.
+    pub fetch: Option<SocketAddr>,
 }
 
 /// A target's word on its load.
--- a/crates/edge/src/plain.rs
+++ b/crates/edge/src/plain.rs
@@ -6,6 +6,7 @@
 use hyper::{HeaderMap, Response};
 use logs::note;
 use sched::health::Outcome;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use crate::body::{Out, whole};
@@ -101,7 +102,7 @@
 
 async fn once(core: &Core, call: &Call, link: &Arc<Link>, wait: Ms) -> Tried {
     let begun = core.clock.now();
-    let build = || call.onward(headers(core, call, link, &[], call.ask.last_event));
+    let build = || call.onward(headers(core, call, link, &[], call.ask.last_event, None));
     let result = send(core, link, &call.ask.id, wait, build).await;
     let answered = match result {
         Ok(answered) => answered,
@@ -183,6 +184,7 @@
     link: &Link,
     inputs: &[String],
     last_event: Option<u64>,
+    fetch: Option<SocketAddr>,
 ) -> HeaderMap {
     let onward = Onward {
         deadline: call.left(core.clock.now()),
@@ -190,7 +192,7 @@
         workspace: call.workspace.as_ref().map(|w| w.name.as_str()),
         inputs,
         last_event,
-        priority: None,
+        fetch,
     };
     core.dialect.onward(&call.parts.headers, &onward)
 }
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -11,7 +11,7 @@
 use std::sync::Arc;
 
 use crate::body::{Cut, Out, whole};
-use crate::choose::{Want, choose};
+use crate::choose::{Want, choose, home};
 use crate::core::Core;
 use crate::events::{EventStream, Taken};
 use crate::host::App;
@@ -194,9 +194,11 @@
         };
         let (core, call) = (&self.core, &self.call);
         let (inputs, last) = (self.results.handles(), self.events.last());
+        let home = home(core, &call.service, subject(call));
+        let fetch = home.filter(|h| h.entry.id != link.entry.id).map(|h| h.entry.addr);
         let build = || {
             self.results.free_soon();
-            call.onward(headers(core, call, &link, inputs, last))
+            call.onward(headers(core, call, &link, inputs, last, fetch))
         };
         match send(core, &link, &call.ask.id, wait, build).await {
             Ok(answered) => self.answered(link, now, answered).await,
