--- a/crates/edge/src/composer.rs
+++ b/crates/edge/src/composer.rs
@@ -33,9 +33,12 @@
 const FREE_WAIT: Ms = Ms(20);
 /// Wait for the answer to such a call, ms.
 const FREE_SILENCE: Ms = Ms(1_000);
-/// How much sooner another region must be able to start a piece for it to go there, ms: the way
-/// there and back, twice, and the bytes that cross.
-const FAR_COST: Ms = Ms(150);
+/// How much sooner another region must be able to start a stage for it to go there, ms: the way
+/// there and back, twice, and some, since its load is known from a while ago.
+const FAR_COST: Ms = Ms(120);
+/// Bytes of results that weigh as much as a ms of waiting when they cross regions: two megabytes,
+/// which cross for the price of a twelfth of a long report, weigh as half a call.
+const BYTES_PER_MS: u64 = 16_000;
 /// Age up to which another region's load is believed, ms.
 const LOAD_AGE: Ms = Ms(1_000);
 /// Longest wait between looks at the targets, ms, beside being told of changes.
@@ -382,6 +385,7 @@
             Some(service) => lock(&service.state).batcher.wait(now),
             None => (!self.places(service).is_empty()).then_some(Ms::ZERO),
         };
+        let cost = FAR_COST + Ms(work.bytes * u64::from(work.pieces) / BYTES_PER_MS);
         let far = lock(&self.far).iter().filter(|((s, _), _)| s == service).fold(
             None,
             |best: Option<(Ms, RegionId)>, ((_, region), (at, wait))| match best {
@@ -391,7 +395,7 @@
             },
         );
         let region = match (here, far) {
-            (Some(here), Some((wait, _))) if here <= wait + FAR_COST => return None,
+            (Some(here), Some((wait, _))) if here <= wait + cost => return None,
             (_, Some((_, region))) => region,
             (Some(_), None) => return None,
             // Nothing here, and no word of the others yet: any that has a target.
--- a/crates/edge/src/stages.rs
+++ b/crates/edge/src/stages.rs
@@ -1,6 +1,6 @@
 //! The stages of one request: each handed in as soon as those that it reads are done.
 
-use base::{HostId, Ms, PoolId};
+use base::{HostId, Ms, PoolId, RegionId};
 use catalog::Batch;
 use futures::StreamExt;
 use futures::future::BoxFuture;
@@ -19,6 +19,9 @@
 /// How early a stage beside a longer chain begins, as a multiple of its expected time: late, it
 /// would hold the whole request up.
 const EARLY: (u64, u64) = (3, 2);
+/// Size from which results should not cross regions, bytes: what crosses is paid by volume, and a
+/// request's stage elsewhere costs its host the way there and back.
+const LARGE: u64 = 100_000;
 /// Time between looks at a stage that is held back, ms.
 const LOOK: Ms = Ms(50);
 /// Times that a stage is done again because results that it read are gone.
@@ -157,11 +160,13 @@
                 continue;
             }
             self.begun[i] = Some(self.app.core.clock.now());
+            let region = self.region(i);
             let mut work = self.work(i, pieces);
             work.release = self.release(i);
             let app = self.app.clone();
             let service = stage.service.clone();
-            self.working.push(Box::pin(async move { (i, submit(&app, &service, work).await) }));
+            self.working
+                .push(Box::pin(async move { (i, submit(&app, &service, &region, work).await) }));
         }
         held_back
     }
@@ -189,6 +194,24 @@
         after.iter().any(|a| *a == from || self.leads_to(from, *a))
     }
 
+    /// Where a stage should be done: where what it reads lies, if that is much, else here. A stage
+    /// that was passed on to another region would have its results cross back otherwise.
+    fn region(&self, i: usize) -> RegionId {
+        let settings = self.app.core.settings();
+        let links = self.app.core.links();
+        let stages = &self.call.route.stages;
+        let held = stages[i].after.iter().filter_map(|a| Some((a, self.held[*a].as_ref()?)));
+        let first = |output: &StageOutput| {
+            let target = links.named(&output.results.first()?.target.as_str().into())?.clone();
+            settings.region_of(&target.entry.domain).cloned()
+        };
+        let size = |a: usize, output: &StageOutput| stages[a].bytes * output.results.len() as u64;
+        let large = held.filter(|(a, output)| size(**a, output) >= LARGE);
+        let found = large.max_by_key(|(a, output)| size(**a, output));
+        let region = found.and_then(|(_, output)| first(output));
+        region.unwrap_or_else(|| settings.region().clone())
+    }
+
     /// What only this stage reads, for its composer to give up.
     fn release(&mut self, i: usize) -> Vec<StageRelease> {
         let stages = &self.call.route.stages;
@@ -277,11 +300,12 @@
 async fn submit(
     app: &Arc<App>,
     service: &PoolId,
+    region: &RegionId,
     work: StageWork,
 ) -> Result<StageOutput, StageFault> {
     let core = &app.core;
     let settings = core.settings().clone();
-    let owner = core.members.owner(&settings, service, settings.region()).unwrap_or(Owner::Me);
+    let owner = core.members.owner(&settings, service, region).unwrap_or(Owner::Me);
     if let Owner::Peer { host, addr } = &owner {
         match remote::make(core, host, *addr, work.clone()).await {
             Ok(results) => return output(service, owner, results),
