--- a/crates/catalog/src/model.rs
+++ b/crates/catalog/src/model.rs
@@ -65,6 +65,8 @@
     pub timeout: Ms,
     /// Time within which an answer is on time, ms.
     pub aim: Ms,
+    /// Time after which callers leave when nothing has come, ms; none when they wait to the end.
+    pub patience: Option<Ms>,
     /// Rank; 0 is the most urgent.
     pub priority: u8,
     /// Services that run it.
--- a/crates/edge/src/stages.rs
+++ b/crates/edge/src/stages.rs
@@ -44,8 +44,7 @@
     match run.finish().await {
         Ok(()) => Ok(run.close()),
         Err(_) if call.left(app.core.clock.now()) == Ms::ZERO => Err(Reason::NoTime),
-        Err(StageFault::Late) => Err(Reason::NoTime),
-        Err(StageFault::Gone | StageFault::Failed) => Err(Reason::Stages),
+        Err(StageFault::Gone | StageFault::Late | StageFault::Failed) => Err(Reason::Stages),
     }
 }
 
@@ -225,8 +224,9 @@
         let stage = &self.call.route.stages[i];
         let now = self.app.core.clock.now();
         let due = self.call.arrived + self.call.route.aim - self.after[i];
+        let patience = self.call.route.patience.map_or(Ms::MAX, |p| self.call.arrived + p);
         // The stages after it need at least their bare time.
-        let expires = self.call.deadline - self.after[i].scale(1, 2);
+        let expires = self.call.deadline.min(patience) - self.after[i].scale(1, 2);
         let inputs = stage.after.iter().filter_map(|a| self.done[*a].as_ref());
         StageWork {
             service: stage.service.as_str().to_owned(),
--- a/crates/sched/src/batch/mod.rs
+++ b/crates/sched/src/batch/mod.rs
@@ -209,7 +209,7 @@
     /// Takes one event and appends what is to be done.
     pub fn reduce(&mut self, now: Ms, event: Event, out: &mut Vec<Effect>) {
         match event {
-            Event::Submit(pieces) => self.submit(now, pieces),
+            Event::Submit(pieces) => self.submit(now, pieces, out),
             Event::Withdraw(ids) => ids.iter().for_each(|id| drop(self.pieces.remove(id))),
             Event::Ended(call, end) => self.ended(now, call, end, out),
             Event::Targets(places) => self.places(&places),
@@ -235,17 +235,26 @@
 
     /// Time until a piece that is handed in now would get into a call, ms; none without a target.
     pub fn wait(&self, now: Ms) -> Option<Ms> {
+        self.wait_behind(now, self.queued())
+    }
+
+    fn wait_behind(&self, now: Ms, ahead: usize) -> Option<Ms> {
         let mut free: Vec<Ms> =
             self.targets.values().filter(|t| t.usable(now)).map(|t| t.free_at(now)).collect();
-        let queued = self.pieces.values().filter(|w| w.queued).count();
         let full = self.time(self.fill as usize);
-        for _ in 0..(queued as f64 / self.fill.max(1.0)) as usize {
+        for _ in 0..(ahead as f64 / self.fill.max(1.0)) as usize {
             let first = free.iter_mut().min()?;
             *first += full;
         }
         free.iter().min().map(|at| *at - now)
     }
 
+    /// Time until a piece of this rank that is handed in now would get into a call, ms.
+    fn wait_of(&self, now: Ms, rank: u8) -> Option<Ms> {
+        let ahead = self.pieces.values().filter(|w| w.queued && w.piece.rank <= rank).count();
+        self.wait_behind(now, ahead)
+    }
+
     /// Bytes of results at a target, those of calls under way included.
     pub fn kept(&self, now: Ms, target: &TargetId) -> u64 {
         self.targets.get(target).map_or(0, |t| t.kept(now))
@@ -260,12 +269,17 @@
         Ms((self.shape.call_ms + self.shape.item_ms * pieces as f64) as u64)
     }
 
-    fn submit(&mut self, now: Ms, pieces: Vec<(PieceId, Piece)>) {
+    fn submit(&mut self, now: Ms, pieces: Vec<(PieceId, Piece)>, out: &mut Vec<Effect>) {
         let requests: HashSet<&str> = pieces.iter().map(|(_, p)| &*p.request).collect();
         for _ in requests {
             self.budget.request(now, &self.service);
         }
         for (id, piece) in pieces {
+            // Known to be hopeless: it isn't kept waiting.
+            if self.wait_of(now, piece.rank).is_some_and(|wait| now + wait > piece.expires) {
+                out.push(Effect::End { piece: id, end: PieceEnd::Late, target: None });
+                continue;
+            }
             self.pieces.insert(id, Waiting { piece, since: now, sends: 0, queued: true });
         }
     }
