--- a/crates/sched/src/batch/mod.rs
+++ b/crates/sched/src/batch/mod.rs
@@ -8,7 +8,7 @@
 //! A target that is free gets a call at once, with what is there: calls fill by themselves when
 //! targets are busy, and nobody waits for a fuller call while a target idles. What goes first:
 //!
-//! 1. pieces at their last chance to meet the caller's deadline, at most [`LAST_SHARE`] of a call,
+//! 1. pieces at their last chance to meet the caller's deadline, at most [`LAST_SHARE`] percent of a call,
 //!    so that a long overload can't turn all service into late service;
 //! 2. pieces whose stage can still end in time for the aim, by rank and then by due time;
 //! 3. pieces that will be late anyway, in the room that is left.
--- a/crates/sched/src/health.rs
+++ b/crates/sched/src/health.rs
@@ -13,7 +13,7 @@
 use base::Ms;
 
 /// Broken or silent connections in a row that eject: one may be the link's or the request's own.
-const BREAKS: u32 = 2;
+pub const BREAKS: u32 = 2;
 /// First ejection, ms: about the time a process takes to start again.
 const EJECT: Ms = Ms(500);
 /// Longest ejection, ms: a crashed target is back within some seconds.
