--- a/crates/edge/src/core.rs
+++ b/crates/edge/src/core.rs
@@ -1,20 +1,21 @@
 //! What all parts of an edge host share.
 
 use arc_swap::{ArcSwap, ArcSwapOption, Guard};
-use base::{Clock, DomainId, Ms};
+use base::{Clock, DomainId, Ms, TargetId};
 use catalog::{Catalog, Freshness, Limits, Proof, Registry, RegistryEvent, Seen};
 use logs::note;
 use sched::budget::{Allowance, Budget};
 use sched::estimate::Estimate;
 use sched::place::Distance;
 use sched::poison::Poison;
+use sched::sample::Sampler;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use tokio::sync::watch;
 
 use crate::choose;
 use crate::dialect::Dialect;
-use crate::links::Links;
+use crate::links::{Link, Links};
 use crate::members::Members;
 use crate::metrics::Metrics;
 use crate::pulse::Pulses;
@@ -43,12 +44,31 @@
     budget: Mutex<Budget>,
     poison: Mutex<Poison>,
     estimate: Mutex<Estimate>,
+    sampler: Mutex<Sampler>,
+    distrust: Mutex<Distrust>,
     stopping: AtomicBool,
     cautious: AtomicU64,
     open: AtomicU64,
     draws: AtomicU64,
 }
 
+/// Time within which connections of several targets that go silent have one cause, ms.
+const SILENT_TOGETHER: Ms = Ms(3_000);
+
+/// The target whose connection went silent last, and when.
+#[derive(Default)]
+struct Distrust {
+    last: Option<(Ms, TargetId)>,
+}
+
+impl Distrust {
+    /// Whether another target's connection went silent shortly before.
+    fn silent(&mut self, now: Ms, target: &TargetId) -> bool {
+        let last = self.last.replace((now, target.clone()));
+        last.is_some_and(|(at, id)| id != *target && now - at <= SILENT_TOGETHER)
+    }
+}
+
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
@@ -91,6 +111,8 @@
             known: Mutex::new(known),
             poison: Mutex::default(),
             estimate: Mutex::default(),
+            sampler: Mutex::default(),
+            distrust: Mutex::default(),
             stopping: AtomicBool::new(false),
             cautious: AtomicU64::new(0),
             open: AtomicU64::new(0),
@@ -135,6 +157,23 @@
         lock(&self.estimate)
     }
 
+    /// Whether an ordinary success gets a log line, and for how many it stands.
+    pub(crate) fn sample(&self) -> Option<u64> {
+        lock(&self.sampler).take(self.clock.now())
+    }
+
+    /// A connection to a target went silent under a request. When those to several targets do at
+    /// about the same time, something on the way has lost track of connections: all idle ones are
+    /// dropped, since each would cost the request that is sent on it.
+    pub(crate) fn silent(&self, link: &Link) {
+        link.pool.clear();
+        let many = lock(&self.distrust).silent(self.clock.now(), &link.entry.id);
+        if many {
+            note!(logs::Event::ConnectionsDropped, target = link.name());
+            self.links().all().for_each(|l| l.pool.clear());
+        }
+    }
+
     /// A number that no other call of any host gets, for spreading.
     pub(crate) fn draw(&self) -> u64 {
         let n = self.draws.fetch_add(1, Ordering::Relaxed);
--- a/crates/edge/src/links.rs
+++ b/crates/edge/src/links.rs
@@ -127,6 +127,11 @@
         self.by_name.get(id)
     }
 
+    /// All targets.
+    pub(crate) fn all(&self) -> impl Iterator<Item = &Arc<Link>> {
+        self.by_name.values()
+    }
+
     /// How many take work.
     pub(crate) fn ready(&self) -> usize {
         self.by_service.values().map(Vec::len).sum()
--- a/crates/edge/src/plain.rs
+++ b/crates/edge/src/plain.rs
@@ -136,6 +136,17 @@
     link.record(now, Outcome::Good(now - begun));
     core.metrics.sent(&call.route.name, "good");
     core.metrics.answered(&call.route.name, now - call.arrived, call.route.aim);
+    if let Some(stands_for) = core.sample() {
+        note!(
+            logs::Event::RequestServed,
+            request = %call.ask.id,
+            route = %call.route.name,
+            version = call.catalog.version,
+            target = link.name(),
+            took_ms = (now - call.arrived).0,
+            stands_for
+        );
+    }
     Tried::Whole(response)
 }
 
--- a/crates/edge/src/send.rs
+++ b/crates/edge/src/send.rs
@@ -99,6 +99,9 @@
     build: impl Fn() -> Request<Bytes>,
 ) -> Result<Answered, SendFault> {
     let result = attempt(core, link, id, wait, build).await;
+    if matches!(result, Err(SendFault::Silent)) {
+        core.silent(link);
+    }
     if let Some(outcome) = result.as_ref().err().and_then(|fault| fault.outcome()) {
         link.record(core.clock.now(), outcome);
     }
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -48,6 +48,8 @@
     };
     let last = call.ask.last_event;
     let mut relay = Relay {
+        staged: core.clock.now(),
+        first: None,
         app,
         core,
         call,
@@ -121,6 +123,10 @@
     call: Call,
     results: Results,
     redone: bool,
+    /// When the stages were done.
+    staged: Ms,
+    /// When the caller got its first event.
+    first: Option<Ms>,
     tried: Vec<Arc<Link>>,
     runs: u32,
     events: EventStream,
@@ -314,14 +320,34 @@
         open.first = false;
         let now = self.core.clock.now();
         open.link.record(now, Outcome::Good(now - open.since));
+        if self.first.is_some() {
+            // A run that goes on: the caller has had its first event.
+            return;
+        }
+        self.first = Some(now);
         let route = &self.call.route;
         self.core.metrics.answered(&route.name, now - self.call.arrived, route.aim);
     }
 
     fn finish(&mut self) {
         let Some(open) = self.open.take() else { return };
-        open.lease.close();
         self.core.metrics.sent(&self.call.route.name, "good");
+        if let Some(stands_for) = self.core.sample() {
+            let now = self.core.clock.now();
+            note!(
+                logs::Event::RequestServed,
+                request = %self.call.ask.id,
+                route = %self.call.route.name,
+                version = self.call.catalog.version,
+                target = open.link.name(),
+                runs = self.runs,
+                first_ms = self.first.map(|at| (at - self.call.arrived).0),
+                stages_ms = (self.staged - self.call.arrived).0,
+                took_ms = (now - self.call.arrived).0,
+                stands_for
+            );
+        }
+        open.lease.close();
     }
 
     /// Goes on at another engine after the last whole event.
--- a/crates/logs/src/event.rs
+++ b/crates/logs/src/event.rs
@@ -77,6 +77,7 @@
     EntryMalformed = 311, Warn, "A registration can't be read; it names no target to use.";
     StageCallEnded = 312, Debug, "A call to a stage target ended: what was made, and what still waits.";
     InputsGone = 313, Warn, "An engine found the results of a request's stages gone; the stages are done again.";
+    ConnectionsDropped = 314, Warn, "Connections to several targets went silent at once; all idle ones are dropped.";
     JournalUnavailable = 400, Warn, "A key could not be recorded; its request was refused.";
     FinishRetried = 401, Warn, "How a keyed request ended could not be recorded yet; it is tried again.";
     FinishLost = 402, Error, "How a keyed request ended could not be recorded; re-sends are told that it is unknown.";
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -8,6 +8,7 @@
 //! | [`health`] | a target that fails, is dark or slow | work goes on flowing to it |
 //! | [`budget`] | failing targets and repeated sends | repeats multiply the load when it hurts |
 //! | [`poison`] | a request that crashes whatever runs it | its re-sends take the targets down in turn |
+//! | [`sample`] | a burst of ordinary successes | logs take the processor's time |
 //! | [`comeback`] | refused callers | they return at once, or all together |
 
 pub mod batch;
@@ -17,3 +18,4 @@
 pub mod health;
 pub mod place;
 pub mod poison;
+pub mod sample;
--- a/crates/sched/tests/small.rs
+++ b/crates/sched/tests/small.rs
@@ -8,6 +8,7 @@
 use sched::health::{Health, Outcome};
 use sched::place::{Candidate, Distance, engine, plain};
 use sched::poison::{MEMORY, Poison, SUSPECT};
+use sched::sample::Sampler;
 
 fn service() -> PoolId {
     PoolId::from("register")
@@ -207,3 +208,13 @@
     assert!(times.iter().max() > times.iter().min());
     assert_eq!(retry_after(Ms(5_000), Ms(1_000), 3), Ms(250));
 }
+
+#[test]
+fn successes_are_sampled_under_a_burst_and_stand_for_all() {
+    let mut sampler = Sampler::default();
+    let calm: u64 = (0..20).filter_map(|i| sampler.take(Ms(i * 50))).sum();
+    assert_eq!(calm, 20);
+    let written: Vec<u64> = (0..1_000).filter_map(|_| sampler.take(Ms(5_000))).collect();
+    assert!(written.len() < 90, "{}", written.len());
+    assert!((950..=1_000).contains(&written.iter().sum::<u64>()));
+}
