--- /dev/null
+++ b/crates/edge/src/composer/far.rs
@@ -0,0 +1,139 @@
+//! Work that another region can start sooner.
+//!
+//! Regions have few targets of a service, and a burst or a lost target fills one while another
+//! idles. Without this each region's callers wait behind their own targets alone.
+
+use base::{Ms, PoolId, RegionId};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use wire::{StageResults, StageWork};
+
+use super::{Composer, lock};
+use crate::members::Owner;
+use crate::remote::{self, Missed};
+
+/// How much sooner another region must be able to start a stage for it to go there, ms: the way
+/// there and back, twice, and some, since its load is known from a while ago.
+const FAR_COST: Ms = Ms(120);
+/// Bytes of results that weigh as much as a ms of waiting when they cross regions: two megabytes,
+/// which cross for the price of a twelfth of a long report, weigh as half a call.
+const BYTES_PER_MS: u64 = 16_000;
+/// Age up to which another region's load is believed, ms.
+const LOAD_AGE: Ms = Ms(1_000);
+/// Time between looks at the other regions, ms: half the time of a call.
+const FAR_LOOK: Ms = Ms(200);
+
+impl Composer {
+    /// A region that can start the stage much sooner than this one.
+    pub(super) fn better_region(
+        &self,
+        service: &PoolId,
+        work: &StageWork,
+    ) -> Option<(RegionId, Owner)> {
+        if work.passed_on {
+            return None;
+        }
+        let now = self.core.clock.now();
+        let shape = self.core.catalog()?.service(service)?.batch.clone()?;
+        let known = lock(&self.services).get(service).cloned();
+        let here = match known {
+            Some(service) => lock(&service.state).batcher.wait(now),
+            None => (!self.places(service).is_empty()).then_some(Ms::ZERO),
+        };
+        let cost = FAR_COST + Ms(work.bytes * u64::from(work.pieces) / BYTES_PER_MS);
+        let far = lock(&self.far).iter().filter(|((s, _), _)| s == service).fold(
+            None,
+            |best: Option<(Ms, RegionId)>, ((_, region), (at, wait))| match best {
+                _ if now - *at > LOAD_AGE => best,
+                Some((least, _)) if least <= *wait => best,
+                _ => Some((*wait, region.clone())),
+            },
+        );
+        let region = match (here, far) {
+            (Some(here), Some((wait, _))) if here <= wait + cost => return None,
+            (_, Some((_, region))) => region,
+            (Some(_), None) => return None,
+            // Nothing here, and no word of the others yet: any that has a target.
+            (None, None) => self.region_with_target(service, &work.request)?,
+        };
+        if let Some((_, wait)) = lock(&self.far).get_mut(&(service.clone(), region.clone())) {
+            // What goes there now is not in its load yet.
+            *wait += Ms((shape.call_ms * f64::from(work.pieces) / shape.size as f64) as u64);
+        }
+        match self.core.members.owner(&self.core.settings(), service, &region)? {
+            Owner::Me => None,
+            owner => Some((region, owner)),
+        }
+    }
+
+    fn region_with_target(&self, service: &PoolId, request: &str) -> Option<RegionId> {
+        let links = self.core.links();
+        let settings = self.core.settings();
+        let targets = links.of(service);
+        let draw = base::hash_parts(&[request.as_bytes()]) as usize % targets.len().max(1);
+        settings.region_of(&targets.get(draw)?.entry.domain).cloned()
+    }
+
+    pub(super) async fn pass_on(
+        &self,
+        service: &PoolId,
+        region: &RegionId,
+        owner: Owner,
+        work: &StageWork,
+    ) -> Option<StageResults> {
+        let Owner::Peer { host, addr } = owner else { return None };
+        self.core.metrics.passed_on(service.as_str());
+        match remote::make(&self.core, &host, addr, work.clone()).await {
+            Ok(mut results) if !results.results.is_empty() => {
+                results.owner = addr.to_string();
+                Some(results)
+            }
+            Ok(_) => None,
+            // The time is over: nothing is made here either.
+            Err(Missed::Late) => Some(StageResults::default()),
+            Err(Missed::Lost) => {
+                lock(&self.far).remove(&(service.clone(), region.clone()));
+                None
+            }
+        }
+    }
+
+    /// Asks the other regions for their loads of the services that this host composes.
+    pub(crate) async fn watch_far(self: Arc<Self>) {
+        loop {
+            tokio::time::sleep(FAR_LOOK.duration()).await;
+            let names: Vec<PoolId> = lock(&self.services).keys().cloned().collect();
+            let settings = self.core.settings().clone();
+            let mut regions: Vec<&RegionId> =
+                settings.domains.values().filter(|r| *r != settings.region()).collect();
+            regions.sort();
+            regions.dedup();
+            for name in &names {
+                let mine = self.core.members.owner(&settings, name, settings.region());
+                if mine != Some(Owner::Me) {
+                    continue;
+                }
+                for region in &regions {
+                    let owner = self.core.members.owner(&settings, name, region);
+                    if let Some(Owner::Peer { addr, .. }) = owner {
+                        tokio::spawn(self.clone().ask_far(name.clone(), (*region).clone(), addr));
+                    }
+                }
+            }
+        }
+    }
+
+    async fn ask_far(self: Arc<Self>, name: PoolId, region: RegionId, addr: SocketAddr) {
+        let Ok(loads) = self.core.members.peers().loads(addr).await else {
+            lock(&self.far).remove(&(name, region));
+            return;
+        };
+        let now = self.core.clock.now();
+        let found = loads.loads.iter().find(|l| l.service == name.as_str());
+        let mut far = lock(&self.far);
+        match found {
+            Some(load) => drop(far.insert((name, region), (now, Ms(load.wait_ms)))),
+            None => drop(far.remove(&(name, region))),
+        }
+    }
+}
--- /dev/null
+++ b/crates/edge/src/composer/serve.rs
@@ -0,0 +1,33 @@
+//! The composer, for other hosts.
+
+use async_trait::async_trait;
+use peer::StageServer;
+use std::sync::Arc;
+use wire::{HostNews, StageFree, StageLoads, StageResults, StageWork};
+
+use super::Composer;
+
+/// The composer, for other hosts.
+pub(crate) struct StageService(pub(crate) Arc<Composer>);
+
+#[async_trait]
+impl StageServer for StageService {
+    async fn submit(&self, work: StageWork) -> StageResults {
+        self.0.submit(work).await
+    }
+
+    async fn loads(&self) -> StageLoads {
+        self.0.loads()
+    }
+
+    async fn free(&self, free: StageFree) {
+        self.0.free(free);
+    }
+
+    async fn news(&self, news: HostNews) {
+        let now = self.0.core.clock.now();
+        for crash in news.crashes {
+            self.0.core.poison().record(now, crash.fingerprint, &crash.target.into());
+        }
+    }
+}
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -27,6 +27,7 @@
 mod plain;
 mod pulse;
 mod refusal;
+mod relay;
 mod reload;
 mod remote;
 mod request;
--- a/crates/edge/src/plain.rs
+++ b/crates/edge/src/plain.rs
@@ -14,7 +14,7 @@
 use crate::core::Core;
 use crate::dialect::Onward;
 use crate::links::Link;
-use crate::refusal::{Reason, refuse};
+use crate::refusal::{Reason, give_up};
 use crate::request::Call;
 use crate::send::{Answered, SendFault, send};
 
@@ -86,18 +86,7 @@
     if let Some(response) = failed {
         return response;
     }
-    let left = call.left(core.clock.now());
-    note!(
-        logs::Event::RequestRefused,
-        request = %call.ask.id,
-        reason = reason.name(),
-        version = call.catalog.version,
-        left_ms = left.0,
-        targets = tried.len(),
-        runs
-    );
-    core.metrics.refused(reason.name());
-    refuse(core, &call.ask.id, reason, left)
+    give_up(core, call, reason, tried.len(), runs)
 }
 
 async fn once(core: &Core, call: &Call, link: &Arc<Link>, wait: Ms) -> Tried {
--- a/crates/edge/src/refusal.rs
+++ b/crates/edge/src/refusal.rs
@@ -2,11 +2,13 @@
 
 use base::Ms;
 use hyper::{Response, StatusCode, header};
+use logs::note;
 use serde::Serialize;
 
 use crate::body::{Out, whole};
 use crate::core::Core;
 use crate::dialect::AskError;
+use crate::request::Call;
 
 /// Why a request gets no target's answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -121,6 +123,31 @@
     detail: String,
 }
 
+/// Gives a call up: its answer, with the line that explains it.
+pub(crate) fn give_up(
+    core: &Core,
+    call: &Call,
+    reason: Reason,
+    targets: usize,
+    runs: u32,
+) -> Response<Out> {
+    let now = core.clock.now();
+    let left = call.left(now);
+    note!(
+        logs::Event::RequestRefused,
+        request = %call.ask.id,
+        route = %call.route.name,
+        reason = reason.name(),
+        version = call.catalog.version,
+        took_ms = (now - call.arrived).0,
+        left_ms = left.0,
+        targets,
+        runs
+    );
+    core.metrics.refused(reason.name());
+    refuse(core, &call.ask.id, reason, left)
+}
+
 /// The answer for a reason. `left` is the time that the caller still has.
 pub(crate) fn refuse(core: &Core, id: &str, reason: Reason, left: Ms) -> Response<Out> {
     let retry = reason.over().map(|over| sched::comeback::retry_after(over, left, core.draw()));
--- /dev/null
+++ b/crates/edge/src/relay.rs
@@ -0,0 +1,377 @@
+//! One caller's stream over all engines that run it.
+
+use base::Ms;
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::Response;
+use hyper::body::Incoming;
+use logs::note;
+use sched::health::Outcome;
+use std::sync::Arc;
+
+use crate::body::{Cut, Out, whole};
+use crate::choose::{Want, choose, home};
+use crate::core::Core;
+use crate::events::{EventStream, Taken};
+use crate::host::App;
+use crate::links::Link;
+use crate::plain::{crashed, headers};
+use crate::refusal::{Reason, give_up};
+use crate::request::Call;
+use crate::results::Results;
+use crate::send::{Answered, Lease, SendFault, send};
+use crate::stages;
+
+/// Engines that are asked at most for one caller's attempt, those that did not run it included.
+const SENDS: usize = 4;
+/// Silence after which a stream that may be resumed goes on at another engine, ms. Pauses of sound
+/// engines stay under the 400 to 500 ms for which a stream is on time; three of these are none.
+const SILENCE: Ms = Ms(1_500);
+/// The same before its first event, beside the time to read the prompt: the engine may have to
+/// read long prompts of others first.
+const FIRST_SILENCE: Ms = Ms(2_500);
+/// Largest refusal or error of a target that is read, bytes.
+const ERROR_BYTES: usize = 1 << 20;
+
+/// What came of the first send.
+pub(crate) enum Started {
+    /// An engine streams.
+    Streams(hyper::http::response::Parts),
+    /// An engine answered otherwise.
+    Answer(Box<Response<Out>>),
+    /// No engine's answer.
+    Refused(Reason),
+}
+
+/// An engine's stream.
+struct Open {
+    link: Arc<Link>,
+    lease: Lease,
+    body: Incoming,
+    since: Ms,
+    first: bool,
+}
+
+/// One caller's stream over all engines that run it.
+pub(crate) struct Relay {
+    app: Arc<App>,
+    core: Arc<Core>,
+    call: Call,
+    results: Results,
+    redone: bool,
+    /// When the stages were done.
+    staged: Ms,
+    /// When the caller got its first event.
+    first: Option<Ms>,
+    tried: Vec<Arc<Link>>,
+    runs: u32,
+    events: EventStream,
+    open: Option<Open>,
+}
+
+impl Relay {
+    /// Nothing sent yet.
+    pub(crate) fn new(app: Arc<App>, call: Call, results: Results) -> Self {
+        let core = app.core.clone();
+        Self {
+            staged: core.clock.now(),
+            first: None,
+            redone: false,
+            tried: Vec::new(),
+            runs: 0,
+            events: EventStream::new(call.ask.last_event),
+            open: None,
+            app,
+            core,
+            call,
+            results,
+        }
+    }
+
+    /// The caller's answer when no engine streams.
+    pub(crate) fn refuse(&self, reason: Reason) -> Response<Out> {
+        give_up(&self.core, &self.call, reason, self.tried.len(), self.runs)
+    }
+
+    /// Finds an engine that runs it.
+    pub(crate) async fn start(&mut self) -> Started {
+        loop {
+            let now = self.core.clock.now();
+            let left = self.call.left(now);
+            if left == Ms::ZERO {
+                let reason = if self.runs > 0 { Reason::Timeout } else { Reason::NoTime };
+                return Started::Refused(reason);
+            }
+            match self.send(left).await {
+                Sent::Streams(parts) => {
+                    self.results.free();
+                    return Started::Streams(*parts);
+                }
+                Sent::Answer(response) => return Started::Answer(response),
+                Sent::NotRun => {}
+                Sent::Gone if self.redone => return Started::Refused(Reason::Stages),
+                Sent::Gone => {
+                    if let Err(reason) = self.redo_stages().await {
+                        return Started::Refused(reason);
+                    }
+                }
+                Sent::Lost if self.may_resume() => {}
+                Sent::Lost => {
+                    let left = self.call.left(self.core.clock.now());
+                    let timeout = left == Ms::ZERO;
+                    let reason = if timeout { Reason::Timeout } else { Reason::Failed };
+                    return Started::Refused(reason);
+                }
+                Sent::NoTarget => {
+                    let reason = if self.runs > 0 { Reason::Failed } else { Reason::NoTarget };
+                    return Started::Refused(reason);
+                }
+            }
+        }
+    }
+
+    /// Does the stages again, once: what they made is gone.
+    async fn redo_stages(&mut self) -> Result<(), Reason> {
+        self.redone = true;
+        self.results = stages::run(&self.app, &self.call).await?;
+        Ok(())
+    }
+
+    fn may_resume(&self) -> bool {
+        self.call.route.repeat.is_idempotent() && self.runs < self.call.route.attempts
+    }
+
+    /// One send to the best engine that wasn't tried.
+    async fn send(&mut self, left: Ms) -> Sent {
+        let now = self.core.clock.now();
+        let first = self.tried.is_empty();
+        if self.tried.len() >= SENDS
+            || (!first && !self.core.budget().take(now, &self.call.service))
+        {
+            return Sent::NoTarget;
+        }
+        let want = Want::Engine { subject: subject(&self.call) };
+        let Some(link) = choose(&self.core, &self.call.service, want, &self.tried) else {
+            return Sent::NoTarget;
+        };
+        self.tried.push(link.clone());
+        let reading = self.core.estimate().first_event(self.call.ask.tokens_in);
+        let wait = match self.call.route.repeat.is_idempotent() {
+            true if self.runs + 1 < self.call.route.attempts => left.min(FIRST_SILENCE + reading),
+            _ => left,
+        };
+        let (core, call) = (&self.core, &self.call);
+        let (inputs, last) = (self.results.handles(), self.events.last());
+        let home = home(core, &call.service, subject(call));
+        let fetch = home.filter(|h| h.entry.id != link.entry.id).map(|h| h.entry.addr);
+        let build = || {
+            self.results.free_soon();
+            call.onward(headers(core, call, &link, inputs, last, fetch))
+        };
+        match send(core, &link, &call.ask.id, wait, build).await {
+            Ok(answered) => self.answered(link, now, answered).await,
+            Err(fault) => {
+                self.lost(&link, fault);
+                match fault.unsent() {
+                    true => Sent::NotRun,
+                    false => {
+                        self.runs += 1;
+                        Sent::Lost
+                    }
+                }
+            }
+        }
+    }
+
+    async fn answered(&mut self, link: Arc<Link>, since: Ms, answered: Answered) -> Sent {
+        let Answered { head, parts, body, lease } = answered;
+        let now = self.core.clock.now();
+        if head.inputs_gone {
+            note!(logs::Event::InputsGone, request = %self.call.ask.id, target = link.name());
+            if self.tried.len() == 1 {
+                self.results.read_late();
+            }
+            self.results.free();
+            // The engine is sound: it may be asked again.
+            self.tried.pop();
+            lease.close();
+            return Sent::Gone;
+        }
+        if head.not_run {
+            let outcome = if head.moved { Outcome::NoConnection } else { Outcome::Full };
+            link.record(now, outcome);
+            self.core.metrics.sent(&self.call.route.name, "not_run");
+            return Sent::NotRun;
+        }
+        self.runs += 1;
+        if parts.status.is_success() && head.signed && !head.coded {
+            self.open = Some(Open { link, lease, body, since, first: true });
+            return Sent::Streams(Box::new(parts));
+        }
+        if parts.status.is_success() {
+            self.lost(&link, SendFault::Mismatch);
+            return Sent::Lost;
+        }
+        link.record(now, Outcome::Failed);
+        self.core.metrics.sent(&self.call.route.name, "failed");
+        if self.may_resume() {
+            return Sent::Lost;
+        }
+        let left = self.call.left(now);
+        let read = tokio::time::timeout(left.duration(), link::read(body, ERROR_BYTES));
+        let Ok(Ok(body)) = read.await else { return Sent::Lost };
+        lease.close();
+        let mut response = Response::new(whole(body));
+        *response.status_mut() = parts.status;
+        *response.headers_mut() = self.core.dialect.back(&parts.headers);
+        Sent::Answer(Box::new(response))
+    }
+
+    fn lost(&self, link: &Link, fault: SendFault) {
+        note!(
+            logs::Event::AttemptFailed,
+            request = %self.call.ask.id,
+            target = link.name(),
+            fault = fault.name(),
+            last_event = self.events.last(),
+            left_ms = self.call.left(self.core.clock.now()).0
+        );
+        self.core.metrics.sent(&self.call.route.name, fault.name());
+        if fault == SendFault::Broken {
+            crashed(&self.core, &self.call, link);
+        }
+    }
+
+    /// The next events; none at the end.
+    pub(crate) async fn next(&mut self) -> Option<Result<Bytes, Cut>> {
+        loop {
+            let Some(open) = &mut self.open else { return Some(Err(Cut)) };
+            let now = self.core.clock.now();
+            let left = self.call.deadline - now;
+            let resumable = self.call.route.repeat.is_idempotent();
+            let wait = if resumable { left.min(SILENCE) } else { left };
+            let frame = tokio::time::timeout(wait.duration(), open.body.frame()).await;
+            let fault = match frame {
+                Ok(Some(Ok(frame))) => {
+                    let Ok(data) = frame.into_data() else { continue };
+                    match self.events.take(data) {
+                        Taken::Events(events) if events.is_empty() => continue,
+                        Taken::Events(events) => {
+                            self.first_event();
+                            return Some(Ok(events));
+                        }
+                        Taken::Broken => SendFault::Mismatch,
+                    }
+                }
+                Ok(None) if !self.events.is_partial() => {
+                    self.finish();
+                    return None;
+                }
+                Ok(None) => SendFault::Broken,
+                Ok(Some(Err(_))) => SendFault::Broken,
+                Err(_) => SendFault::Silent,
+            };
+            if let Err(cut) = self.resume(fault).await {
+                return Some(Err(cut));
+            }
+        }
+    }
+
+    fn first_event(&mut self) {
+        let Some(open) = self.open.as_mut().filter(|o| o.first) else { return };
+        open.first = false;
+        let now = self.core.clock.now();
+        open.link.record(now, Outcome::Good(now - open.since));
+        if self.first.is_some() {
+            // A run that goes on: the caller has had its first event.
+            return;
+        }
+        self.first = Some(now);
+        let route = &self.call.route;
+        self.core.metrics.answered(&route.name, now - self.call.arrived, route.aim);
+    }
+
+    fn finish(&mut self) {
+        let Some(open) = self.open.take() else { return };
+        self.core.metrics.sent(&self.call.route.name, "good");
+        if let Some(stands_for) = self.core.sample() {
+            let now = self.core.clock.now();
+            note!(
+                logs::Event::RequestServed,
+                request = %self.call.ask.id,
+                route = %self.call.route.name,
+                version = self.call.catalog.version,
+                target = open.link.name(),
+                runs = self.runs,
+                first_ms = self.first.map(|at| (at - self.call.arrived).0),
+                stages_ms = (self.staged - self.call.arrived).0,
+                took_ms = (now - self.call.arrived).0,
+                stands_for
+            );
+        }
+        open.lease.close();
+    }
+
+    /// Goes on at another engine after the last whole event.
+    async fn resume(&mut self, fault: SendFault) -> Result<(), Cut> {
+        // Dropping the connection first: the engine stops before another goes on.
+        if let Some(open) = self.open.take() {
+            let outcome = match fault {
+                SendFault::Silent => Outcome::Silent,
+                _ => Outcome::Broken,
+            };
+            open.link.record(self.core.clock.now(), outcome);
+            self.lost(&open.link, fault);
+        }
+        self.events.restart();
+        while self.may_resume() {
+            // The next engine needs the results of its stages too.
+            if self.results.given_up() && (self.redone || self.redo_stages().await.is_err()) {
+                break;
+            }
+            let left = self.call.left(self.core.clock.now());
+            if left == Ms::ZERO {
+                break;
+            }
+            match self.send(left).await {
+                Sent::Streams(_) => {
+                    self.results.free();
+                    note!(
+                        logs::Event::StreamResumed,
+                        request = %self.call.ask.id,
+                        after = self.events.last()
+                    );
+                    return Ok(());
+                }
+                Sent::NotRun | Sent::Lost | Sent::Gone => {}
+                Sent::Answer(_) | Sent::NoTarget => break,
+            }
+        }
+        note!(
+            logs::Event::StreamCut,
+            request = %self.call.ask.id,
+            fault = fault.name(),
+            runs = self.runs,
+            left_ms = self.call.left(self.core.clock.now()).0
+        );
+        Err(Cut)
+    }
+}
+
+/// What came of one send.
+enum Sent {
+    Streams(Box<hyper::http::response::Parts>),
+    Answer(Box<Response<Out>>),
+    NotRun,
+    /// Not run: its inputs are gone.
+    Gone,
+    Lost,
+    NoTarget,
+}
+
+/// What the prompt is about: the last part that other requests share.
+fn subject(call: &Call) -> u64 {
+    let prompt = &call.ask.prompt;
+    let shared = prompt.len().saturating_sub(2);
+    prompt.get(shared).map_or(0, |part| part.id)
+}
