--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -153,6 +153,21 @@
         self.listen
     }
 
+    /// Where other hosts connect.
+    pub fn peer(&self) -> SocketAddr {
+        self.node.addr()
+    }
+
+    /// Live hosts that it knows, itself included.
+    pub fn peers(&self) -> usize {
+        self.app.core.members.hosts().len()
+    }
+
+    /// The settings in force.
+    pub fn settings(&self) -> Arc<Settings> {
+        self.app.core.settings().clone()
+    }
+
     /// Whether the platform should send callers here.
     pub fn ready(&self) -> bool {
         self.app.core.ready()
--- a/crates/edge/src/links.rs
+++ b/crates/edge/src/links.rs
@@ -58,6 +58,11 @@
         self.entry.id.as_str()
     }
 
+    /// Its name with the start of this life.
+    pub(crate) fn life(&self) -> TargetId {
+        TargetId::from(format!("{}@{}", self.entry.id, self.entry.born))
+    }
+
     /// A request begins there.
     pub(crate) fn begin(self: &Arc<Self>) -> OpenAt {
         self.health().begin();
--- a/crates/edge/src/plain.rs
+++ b/crates/edge/src/plain.rs
@@ -123,6 +123,7 @@
         return Tried::Failed(response);
     }
     link.record(now, Outcome::Good(now - begun));
+    core.poison().clear(call.fingerprint);
     core.metrics.sent(&call.route.name, "good");
     core.metrics.answered(&call.route.name, now - call.arrived, call.route.aim);
     if let Some(stands_for) = core.sample() {
@@ -171,9 +172,10 @@
 /// must know.
 pub(crate) fn crashed(core: &Core, call: &Call, link: &Link) {
     let now = core.clock.now();
-    let news = core.poison().record(now, call.fingerprint, &link.entry.id);
+    let life = link.life();
+    let news = core.poison().record(now, call.fingerprint, &life);
     if news {
-        core.members.crashed(call.fingerprint, &link.entry.id);
+        core.members.crashed(call.fingerprint, &life);
     }
 }
 
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -293,6 +293,7 @@
 
     fn finish(&mut self) {
         let Some(open) = self.open.take() else { return };
+        self.core.poison().clear(self.call.fingerprint);
         self.core.metrics.sent(&self.call.route.name, "good");
         if let Some(stands_for) = self.core.sample() {
             let now = self.core.clock.now();
--- a/crates/sched/src/poison.rs
+++ b/crates/sched/src/poison.rs
@@ -5,7 +5,9 @@
 //!
 //! A request is known by its route, path, workspace and body, since a re-send has an identifier of
 //! its own. A broken connection is evidence only: it may be a lost link. So a request is held for
-//! poison after [`SUSPECT`] breaks at different targets, and other hosts are told of each break.
+//! poison after [`SUSPECT`] breaks at different targets, or different lives of one, with no good
+//! answer in between, and other hosts are told of each break. A target that crashed starts another
+//! life; one whose link breaks again and again doesn't.
 
 use base::{Ms, TargetId};
 use std::collections::HashMap;
@@ -32,8 +34,8 @@
 }
 
 impl Poison {
-    /// A target broke the connection while it owed the answer to this request. Says whether that
-    /// is news.
+    /// A target, in this life, broke the connection while it owed the answer to this request. Says
+    /// whether that is news.
     pub fn record(&mut self, now: Ms, fingerprint: u64, target: &TargetId) -> bool {
         self.forget(now);
         let breaks = self.breaks.entry(fingerprint).or_default();
@@ -45,6 +47,11 @@
         true
     }
 
+    /// The request had a good answer: what broke before was not its doing.
+    pub fn clear(&mut self, fingerprint: u64) {
+        self.breaks.remove(&fingerprint);
+    }
+
     /// Whether the request must not be sent any more.
     pub fn is_poison(&self, now: Ms, fingerprint: u64) -> bool {
         let known = self.breaks.get(&fingerprint);
--- a/crates/sched/tests/small.rs
+++ b/crates/sched/tests/small.rs
@@ -69,6 +69,27 @@
     assert!(!poison.is_poison(Ms(2) + MEMORY, 7));
 }
 
+// A sound request is refused for a minute: connections broke under three reads of one record, days
+// apart in the life of a burst, with good answers in between.
+#[test]
+fn a_good_answer_clears_what_broke_before() {
+    let mut poison = Poison::default();
+    poison.record(Ms(0), 7, &TargetId::from("a@1"));
+    poison.record(Ms(1), 7, &TargetId::from("b@1"));
+    poison.clear(7);
+    poison.record(Ms(2), 7, &TargetId::from("c@1"));
+    assert!(!poison.is_poison(Ms(3), 7));
+}
+
+#[test]
+fn lives_of_one_target_count_by_themselves() {
+    let mut poison = Poison::default();
+    for life in ["a@1", "a@1", "a@2", "a@3"] {
+        poison.record(Ms(0), 7, &TargetId::from(life));
+    }
+    assert!(poison.is_poison(Ms(1), 7));
+}
+
 #[test]
 fn a_target_without_connection_is_passed_over_and_tried_once_later() {
     let mut health = Health::default();
