--- a/bins/siskinwheel/src/args.rs
+++ b/bins/siskinwheel/src/args.rs
@@ -31,6 +31,7 @@
     History { last: usize },
     Leave { target: String, back: bool, note: Note },
     Explain { workspace: String, pipeline: String, file: Option<PathBuf> },
+    Story { request: String, files: Vec<PathBuf> },
 }
 
 /// Who changes and why.
@@ -57,11 +58,7 @@
                 Command::History { last: args.opt_value_from_str("--last")?.unwrap_or(LAST) }
             }
             "leave" => leave(&mut args)?,
-            "explain" => Command::Explain {
-                workspace: args.value_from_str("--workspace")?,
-                pipeline: args.value_from_str("--pipeline")?,
-                file: args.opt_value_from_str("--file")?,
-            },
+            "explain" => explain(&mut args)?,
             other => bail!("there is no command '{other}'"),
         };
         match args.finish().as_slice() {
@@ -74,7 +71,9 @@
     fn complete(self) -> Result<Self> {
         let none = self.platform.is_none();
         match &self.command {
-            Command::Check { .. } | Command::Explain { file: Some(_), .. } => {}
+            Command::Check { .. }
+            | Command::Explain { file: Some(_), .. }
+            | Command::Story { .. } => {}
             Command::Apply { .. } | Command::Leave { .. } if none => {
                 bail!("give the platform's address with --platform")
             }
@@ -87,6 +86,21 @@
     }
 }
 
+/// With a workspace, what decides there; else what happened to a request.
+fn explain(args: &mut Arguments) -> Result<Command> {
+    if let Some(workspace) = args.opt_value_from_str("--workspace")? {
+        let pipeline = args.value_from_str("--pipeline")?;
+        let file = args.opt_value_from_str("--file")?;
+        return Ok(Command::Explain { workspace, pipeline, file });
+    }
+    let request = args.free_from_str().context("give a request's id, or --workspace")?;
+    let mut files = Vec::new();
+    while let Some(file) = args.opt_free_from_str::<String>()? {
+        files.push(file.into());
+    }
+    Ok(Command::Story { request, files })
+}
+
 fn check(args: &mut Arguments) -> Result<Command> {
     let kind = match (args.contains("--settings"), args.contains("--fleet")) {
         (false, false) => None,
--- a/bins/siskinwheel/src/run.rs
+++ b/bins/siskinwheel/src/run.rs
@@ -8,7 +8,7 @@
 };
 use serde::Serialize;
 use std::fmt::Display;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use store::{Api, HttpApi, HttpConfig};
 
@@ -54,6 +54,12 @@
             let marked = ctl::leave(&*options.api()?, target, !back, &note.at(now)).await?;
             options.print(&marked, Exit::Done)
         }
+        Command::Story { request, files } => {
+            let logs = logs(files)?;
+            let lines =
+                logs.iter().flat_map(|(name, text)| text.lines().map(move |l| (&**name, l)));
+            options.print(&ctl::story(request, lines), Exit::Done)
+        }
         Command::Explain { workspace, pipeline, file } => {
             let plan = plan(options, file.as_deref()).await?;
             options.print(&ctl::explain(&plan, workspace, pipeline, now)?, Exit::Done)
@@ -138,6 +144,15 @@
     }
 }
 
+/// Logs by the names of their files; standard input where none is named.
+fn logs(files: &[PathBuf]) -> Result<Vec<(String, String)>> {
+    if files.is_empty() {
+        let text = std::io::read_to_string(std::io::stdin()).context("reading the logs")?;
+        return Ok(vec![("stdin".to_owned(), text)]);
+    }
+    files.iter().map(|file| Ok((file.display().to_string(), read(file)?))).collect()
+}
+
 fn read(path: &Path) -> Result<String> {
     std::fs::read_to_string(path).with_context(|| format!("reading {}", path.display()))
 }
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -13,6 +13,7 @@
 mod source;
 mod stamp;
 mod status;
+mod story;
 
 pub use apply::{Applied, ChangeNote, Settle, apply, apply_within, base_of, read_fleet, with_base};
 pub use audit::{AUDIT_KIND, PAGE, history, page_name};
@@ -27,3 +28,4 @@
 pub use source::{Source, domains};
 pub use stamp::stamp;
 pub use status::{DomainReach, Reach, Status, all_members, wait_in_force};
+pub use story::{Step, Story, story};
--- /dev/null
+++ b/crates/ctl/src/story.rs
@@ -0,0 +1,83 @@
+//! What happened to one request, from the log lines of all hosts.
+
+use serde::Serialize;
+use serde_json::{Map, Value};
+use std::fmt;
+
+/// Fields that every line has and that the story tells otherwise.
+const KNOWN: [&str; 3] = ["event", "name", "request"];
+
+/// One step of a request.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Step {
+    /// When, as the host's clock had it.
+    pub time: String,
+    /// Which host or file the line is from.
+    pub source: String,
+    /// Number of the event.
+    pub event: u64,
+    /// Its name.
+    pub name: String,
+    /// What the decision knew.
+    pub fields: Map<String, Value>,
+}
+
+/// All steps of a request, in order.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Story {
+    /// The request.
+    pub request: String,
+    /// What happened.
+    pub steps: Vec<Step>,
+}
+
+/// Reads the steps of a request from log lines; each comes with the name of its file. What stands
+/// before a line's JSON, such as a host's name, goes to its source. Other lines are passed over.
+pub fn story<'a>(request: &str, lines: impl Iterator<Item = (&'a str, &'a str)>) -> Story {
+    let mut steps: Vec<Step> = lines.filter_map(|(file, line)| step(request, file, line)).collect();
+    steps.sort_by(|a, b| a.time.cmp(&b.time));
+    Story { request: request.to_owned(), steps }
+}
+
+fn step(request: &str, file: &str, line: &str) -> Option<Step> {
+    let start = line.find('{')?;
+    let (before, json) = line.split_at(start);
+    let line: Value = serde_json::from_str(json).ok()?;
+    let fields = line.get("fields")?.as_object()?;
+    if fields.get("request")?.as_str()? != request {
+        return None;
+    }
+    let source = match before.split_whitespace().last() {
+        Some(host) => host.to_owned(),
+        None => file.to_owned(),
+    };
+    let told = fields.iter().filter(|(name, _)| !KNOWN.contains(&name.as_str()));
+    Some(Step {
+        time: line.get("timestamp")?.as_str()?.to_owned(),
+        source,
+        event: fields.get("event")?.as_u64()?,
+        name: fields.get("name")?.as_str()?.to_owned(),
+        fields: told.map(|(name, value)| (name.clone(), value.clone())).collect(),
+    })
+}
+
+impl fmt::Display for Story {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.steps.len() {
+            0 => return write!(f, "no line names request {}", self.request),
+            1 => write!(f, "request {}, one step", self.request)?,
+            steps => write!(f, "request {}, {steps} steps", self.request)?,
+        }
+        for step in &self.steps {
+            let Step { time, source, event, name, fields } = step;
+            write!(f, "\n  {time} {source} {event} {name}")?;
+            for (name, value) in fields {
+                match value.as_str() {
+                    Some(text) => write!(f, " {name}={text}")?,
+                    None => write!(f, " {name}={value}")?,
+                }
+            }
+        }
+        Ok(())
+    }
+}
--- a/crates/ctl/tests/suite/main.rs
+++ b/crates/ctl/tests/suite/main.rs
@@ -5,4 +5,5 @@
 mod fuzz;
 mod platform;
 mod size;
+mod story;
 mod support;
