Calls to the store by the bounds that they serve, changes in groups

The times between calls now follow from the bounds of the settings, and a watch pauses 0.3 s after changes.

--- a/crates/catalog/src/freshness.rs
+++ b/crates/catalog/src/freshness.rs
@@ -44,11 +44,16 @@
         self.proved = self.proved.max(Some(sent));
     }
 
+    /// Age of the last proof, ms; none before the first.
+    pub fn age(&self, now: Ms) -> Option<Ms> {
+        self.proved.map(|at| now - at)
+    }
+
     /// Whether keys may be served at `now`.
     pub fn check(&self, now: Ms) -> Proof {
-        match self.proved {
-            Some(at) if now - at <= self.bound => Proof::Current,
-            proved => Proof::Stale { age: proved.map(|at| now - at) },
+        match self.age(now) {
+            Some(age) if age <= self.bound => Proof::Current,
+            age => Proof::Stale { age },
         }
     }
 }
--- a/crates/edge/src/core.rs
+++ b/crates/edge/src/core.rs
@@ -205,6 +205,11 @@
         lock(&self.known).freshness.check(self.clock.now())
     }
 
+    /// Age of the last read that proves the configuration; none before the first.
+    pub(crate) fn proof_age(&self) -> Option<Ms> {
+        lock(&self.known).freshness.age(self.clock.now())
+    }
+
     /// Takes what was read of the targets.
     pub(crate) fn learn(&self, seen: Seen) {
         let now = self.clock.now();
--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -14,14 +14,22 @@
     Change, Directory, DirectoryError, Kind, Record, RecordBody, Revision, Updates,
 };
 
-/// Time between reads of the configuration, ms. A change must be in force within 2.5 s at the
-/// strictest and a key's proof lasts 4 s, so one lost read does no harm.
-const READ_EVERY: Ms = Ms(1_000);
+/// Part of the time in which a change must be in force after which the configuration is read again,
+/// percent: a read that is lost, and [`SILENCE`], still fit. Each call is paid for.
+const READ_SHARE: u64 = 60;
+/// The same of the time after which a key that was taken away must not work, percent: two reads in
+/// a row may be lost before the proof is too old.
+const PROOF_SHARE: u64 = 30;
 /// Wait for an answer of the store, ms: sixty times its usual time.
 const SILENCE: Ms = Ms(700);
-/// Longest wait of a watch, ms: one that went silent for good is noticed after this and
-/// [`SILENCE`], before a leaving target must get nothing new.
-const WATCH: Ms = Ms(1_700);
+/// What is left of the time in which a leaving target must get nothing new when a watch ends, ms:
+/// one that went silent for good is noticed [`SILENCE`] later, and the list read.
+const WATCH_REST: Ms = Ms(1_000);
+/// Longest wait of a watch, ms.
+const WATCH_MOST: Ms = Ms(8_000);
+/// Pause after changes before the next watch, ms. Changes come in groups, when targets are
+/// replaced or register again; without it each is a call of every host.
+const GROUP: Ms = Ms(300);
 /// Pause after a failed call, ms; doubled each time in a row.
 const PAUSE: Ms = Ms(100);
 /// Longest such pause, ms: hosts must be back within a second of the store.
@@ -39,7 +47,7 @@
             Ok(found) => {
                 pause.good();
                 core.take_catalog(sent, found.as_ref());
-                let rest = READ_EVERY - (core.clock.now() - sent);
+                let rest = read_every(&core) - (core.clock.now() - sent);
                 tokio::time::sleep(rest.duration()).await;
             }
             Err(err) => {
@@ -51,6 +59,19 @@
     }
 }
 
+fn read_every(core: &Core) -> Ms {
+    let bounds = &core.settings().bounds;
+    let change = bounds.config_ms.scale(READ_SHARE, 100);
+    match bounds.revoke_strict {
+        true => change.min(bounds.revoke_ms.scale(PROOF_SHARE, 100)),
+        false => change,
+    }
+}
+
+fn watch_wait(core: &Core) -> Ms {
+    (core.settings().bounds.drain_ms - WATCH_REST).min(WATCH_MOST)
+}
+
 fn note_proof(core: &Core, proved: &mut bool) {
     match (core.proof(), *proved) {
         (Proof::Stale { age }, true) => {
@@ -137,9 +158,11 @@
     core.learn(seen(records, outage.lapse()));
     let end = core.clock.now() + LIST_EVERY;
     while core.clock.now() < end {
-        let watch = directory.watch(Kind::Targets, since, WATCH);
-        let Updates { changes, revision } = within(WATCH + SILENCE, watch).await?;
+        let wait = watch_wait(core);
+        let watch = directory.watch(Kind::Targets, since, wait);
+        let Updates { changes, revision } = within(wait + SILENCE, watch).await?;
         since = revision;
+        let changed = !changes.is_empty();
         for change in changes {
             core.learn(match change {
                 Change::Removed(id) => Seen::Removed { id, lapse: outage.lapse() },
@@ -150,6 +173,9 @@
             });
         }
         core.expire();
+        if changed {
+            tokio::time::sleep(GROUP.duration()).await;
+        }
     }
     Ok(())
 }
--- a/crates/edge/src/request.rs
+++ b/crates/edge/src/request.rs
@@ -80,6 +80,7 @@
                 request = %id,
                 reason = reason.name(),
                 version = core.catalog().map(|c| c.version),
+                proof_age_ms = core.proof_age().map(|age| age.0),
                 left_ms = left.0
             );
             core.metrics.refused(reason.name());
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -72,6 +72,8 @@
     pub revoke_strict: bool,
     /// See `revoke_strict`. Default 5000.
     pub revoke_ms: Ms,
+    /// Time within which a new version of the configuration must be in force, ms. Default 2500.
+    pub config_ms: Ms,
     /// Time within which a leaving target gets nothing new. Default 2500.
     pub drain_ms: Ms,
     /// Time from the signal to stop until the process is killed, s. Default 8.
@@ -89,6 +91,7 @@
         Self {
             revoke_strict: true,
             revoke_ms: Ms(5_000),
+            config_ms: Ms(2_500),
             drain_ms: Ms(2_500),
             grace_s: 8.0,
             retry_ratio: 0.2,
@@ -111,10 +114,20 @@
         if !settings.domains.contains_key(&settings.domain) {
             return Err(SettingsError::Domain(settings.domain));
         }
-        let Bounds { revoke_ms, grace_s, retry_ratio, retry_slack, retry_window_s, .. } =
-            settings.bounds;
+        let Bounds {
+            revoke_ms,
+            config_ms,
+            drain_ms,
+            grace_s,
+            retry_ratio,
+            retry_slack,
+            retry_window_s,
+            ..
+        } = settings.bounds;
         let ranges = [
             ("revoke_ms", revoke_ms >= Ms(500), "at least 500"),
+            ("config_ms", config_ms >= Ms(500), "at least 500"),
+            ("drain_ms", drain_ms >= Ms(1_200), "at least 1200"),
             ("grace_s", grace_s >= 1.0, "at least 1"),
             ("retry_ratio", (0.0..=10.0).contains(&retry_ratio), "0 to 10"),
             ("retry_slack", retry_slack >= 0.0, "at least 0"),
--- a/crates/edge/tests/settings.rs
+++ b/crates/edge/tests/settings.rs
@@ -57,6 +57,7 @@
         ("seedNodes|json", "[\"10.0.0.1:8628\",\"10.0.0.2:8628\"]"),
         ("bounds.revokeStrict|json", "true"),
         ("bounds.revokeMs|json", "4000"),
+        ("bounds.configApplyMs|json", "2500"),
         ("bounds.drainMs|json", "2500"),
         ("bounds.graceS|json", "8"),
         ("bounds.retryBudgetRatio|json", "0.2"),
