--- a/crates/sched/src/batch/types.rs
+++ b/crates/sched/src/batch/types.rs
@@ -97,7 +97,7 @@
     Freed(TargetId, String),
     /// So many hosts are alive.
     Hosts(usize),
-    /// Time has passed; comes at [`Batcher::wake`].
+    /// Time has passed; comes at [`super::Batcher::wake`].
     Tick,
 }
 
