A changed declaration of a service reaches its composer; inputs go when all pieces have read them

Cause, from reading the code: the composer kept the batch of its first call for good, and a piece in a second call counted for one that was in none, so that inputs could be given up too early.

--- a/crates/edge/src/composer/mod.rs
+++ b/crates/edge/src/composer/mod.rs
@@ -8,6 +8,7 @@
 pub(crate) use serve::StageService;
 
 use base::{Ms, PoolId, RegionId, TargetId};
+use catalog::Batch;
 use logs::note;
 use sched::batch::{Batcher, CallEnd, CallId, Effect, Event, Piece, PieceEnd, PieceId, Place};
 use std::collections::HashMap;
@@ -82,7 +83,7 @@
         let count = work.pieces as usize;
         let submission = Arc::new(Mutex::new(Submission {
             left: count,
-            unread: count,
+            unread: vec![true; count],
             release: work.release.clone(),
             results: vec![PieceResult::default(); count],
             done: Some(done),
@@ -108,14 +109,18 @@
         results
     }
 
+    /// How a service's targets run calls, as it is declared now.
+    fn shape(&self, name: &PoolId) -> Option<Batch> {
+        self.core.catalog()?.service(name)?.batch.clone()
+    }
+
     /// The batcher of a service; none for one that runs no stages.
     fn service(self: &Arc<Self>, name: &PoolId) -> Option<Arc<Service>> {
         let mut services = lock(&self.services);
         if let Some(service) = services.get(name) {
             return Some(service.clone());
         }
-        let catalog = self.core.catalog()?;
-        let shape = catalog.service(name)?.batch.clone()?;
+        let shape = self.shape(name)?;
         let batcher = Batcher::new(name.clone(), shape, allowance(&self.core.settings()));
         let state = State { batcher, waiting: HashMap::new(), freed: HashMap::new() };
         let service =
@@ -163,6 +168,9 @@
                 }
                 () = service.wake.notified() => {}
                 _ = moved.changed() => {
+                    if let Some(shape) = self.shape(&service.name) {
+                        self.feed(&service, Event::Shape(shape));
+                    }
                     self.feed(&service, Event::Targets(self.places(&service.name)));
                     let hosts = self.core.members.hosts().len();
                     self.feed(&service, Event::Hosts(hosts));
--- a/crates/edge/src/composer/submission.rs
+++ b/crates/edge/src/composer/submission.rs
@@ -11,8 +11,8 @@
 /// Pieces of one stage, until all have ended.
 pub(super) struct Submission {
     pub(super) left: usize,
-    /// Pieces that were never in a call.
-    pub(super) unread: usize,
+    /// Which pieces were never in a call.
+    pub(super) unread: Vec<bool>,
     /// What they read and nobody else does.
     pub(super) release: Vec<StageRelease>,
     pub(super) results: Vec<PieceResult>,
@@ -78,12 +78,13 @@
 
 /// Notes that a piece is in a call. Gives what all pieces of its stage have read then.
 pub(super) fn begun(state: &mut State, piece: &PieceId) -> Vec<StageRelease> {
-    let Some((submission, _)) = state.waiting.get(piece) else { return Vec::new() };
+    let Some((submission, i)) = state.waiting.get(piece) else { return Vec::new() };
     let mut submission = lock(submission);
-    submission.unread = submission.unread.saturating_sub(1);
-    match submission.unread {
-        0 => std::mem::take(&mut submission.release),
-        _ => Vec::new(),
+    // A piece may be in a second call before another is in its first.
+    submission.unread[*i] = false;
+    match submission.unread.contains(&true) {
+        false => std::mem::take(&mut submission.release),
+        true => Vec::new(),
     }
 }
 
--- a/crates/sched/src/batch/mod.rs
+++ b/crates/sched/src/batch/mod.rs
@@ -82,6 +82,7 @@
             Event::Withdraw(ids) => ids.iter().for_each(|id| drop(self.pieces.remove(id))),
             Event::Ended(call, end) => self.ended(now, call, end, out),
             Event::Targets(places) => self.places(&places),
+            Event::Shape(shape) => self.shape = shape,
             Event::Freed(target, handle) => {
                 if let Some(target) = self.targets.get_mut(&target) {
                     target.freed(&handle);
--- a/crates/sched/src/batch/types.rs
+++ b/crates/sched/src/batch/types.rs
@@ -1,6 +1,7 @@
 //! What a batcher is told, and what it asks for.
 
 use base::{Ms, TargetId};
+use catalog::Batch;
 use std::sync::Arc;
 
 /// A piece at this batcher.
@@ -93,6 +94,8 @@
     Ended(CallId, CallEnd),
     /// The targets that take new work.
     Targets(Vec<Place>),
+    /// The service is declared so from now on.
+    Shape(Batch),
     /// A result was given up; its room is free.
     Freed(TargetId, String),
     /// So many hosts are alive.
--- a/crates/sched/tests/batch.rs
+++ b/crates/sched/tests/batch.rs
@@ -339,3 +339,14 @@
     assert!(bench.ends.is_empty());
     assert_eq!(bench.requests(1), ["r1"]);
 }
+
+// Calls stay as small as they were declared at the start, though the operator raised the batch.
+#[test]
+fn a_changed_declaration_holds_for_the_next_call() {
+    let mut bench = Bench::new(shape(), &["a"]);
+    bench.submit("r1", 1, |_| ());
+    bench.submit("r2", 12, |_| ());
+    bench.feed(Event::Shape(Batch { size: 16, ..shape() }));
+    bench.finish(0, Ms(250));
+    assert_eq!(bench.calls[1].2.len(), 12);
+}
