--- a/crates/edge/src/stages.rs
+++ b/crates/edge/src/stages.rs
@@ -272,15 +272,23 @@
         }
     }
 
-    /// What this stage read is gone: it and what it reads are done again.
+    /// What this stage read is gone: it and all that leads to it are done again. What its inputs
+    /// were made from was given up when they had read it.
     fn redo(&mut self, i: usize) {
         self.redone += 1;
         note!(logs::Event::StageRedone, request = %self.call.ask.id, stage = i);
         self.begun[i] = None;
         for before in self.call.route.stages[i].after.clone() {
-            self.give_up(before);
-            self.done[before] = None;
-            self.begun[before] = None;
+            self.reset(before);
+        }
+    }
+
+    fn reset(&mut self, i: usize) {
+        self.give_up(i);
+        self.done[i] = None;
+        self.begun[i] = None;
+        for before in self.call.route.stages[i].after.clone() {
+            self.reset(before);
         }
     }
 }
