--- a/bins/siskinwheel-bench/src/main.rs
+++ b/bins/siskinwheel-bench/src/main.rs
@@ -1,4 +1,4 @@
-//! Load and experiment tool: `siskinwheel-bench path|policy|journal|fleet|replay|capacity`.
+//! Load and experiment tool: `siskinwheel-bench path|policy|stages|journal|fleet|replay|capacity`.
 
 mod ablation;
 mod capacity;
@@ -10,6 +10,7 @@
 mod process;
 mod replay;
 mod report;
+mod stages;
 mod stats;
 mod sweep;
 
@@ -27,6 +28,7 @@
   fleet    configuration, membership and leaving at several sizes, in virtual time
   path     what an entry host adds over calling the stand-in directly
   policy   patterns of load by policy, in virtual time; the time of a decision
+  stages   who fills the calls of stage targets, in virtual time
   journal  running a key at most once: writes, latency, recovery, outage, by design
   replay   what a host does on a file of events";
 
@@ -59,6 +61,8 @@
         Some("path") if args.contains(["-h", "--help"]) => println!("{}", path::HELP),
         Some("path") => path::run(args, &output)?,
         Some("policy") => policy::run(args, &output)?,
+        Some("stages") if args.contains(["-h", "--help"]) => println!("{}", stages::HELP),
+        Some("stages") => stages::run(args, &output)?,
         Some("journal") if args.contains(["-h", "--help"]) => println!("{}", journal::HELP),
         Some("journal") => journal::run(args, &output)?,
         Some("replay") => replay::run(args)?,
--- /dev/null
+++ b/bins/siskinwheel-bench/src/stages.rs
@@ -0,0 +1,142 @@
+//! `siskinwheel-bench stages`: who fills the calls of stage targets, by design, in virtual time.
+
+use anyhow::Result;
+use model::stages::{DAY, Design, Fault, KINDS, Load, Served, play};
+use pico_args::Arguments;
+
+use crate::finish;
+use crate::report::{Axes, Output, Series, Table};
+use crate::stats::Spread;
+
+pub const HELP: &str = "\
+Usage: siskinwheel-bench stages [--seeds N] [--hosts A,B] [--faults] [--json] [--plot FILE.svg]
+
+Plays requests whose stages are made in batches, in virtual time, and prints the share of them that
+is in time, by design: median and spread over the seeds 1 to N.
+
+  --seeds N     repeats, default 10
+  --hosts A,B   entry hosts, default 6,30,86
+  --faults      faults at ordinary load on the first number of hosts, instead of growing load";
+
+const DESIGNS: [(Design, &str); 6] = [
+    (Design::Single, "single calls"),
+    (Design::Alone, "hosts alone"),
+    (Design::Window, "alone, window"),
+    (Design::Lease, "leased turns"),
+    (Design::Own, "own targets"),
+    (Design::Composer, "composer"),
+];
+
+/// Ordinary load, and bursts.
+const FACTORS: [f64; 4] = [0.5, 1.0, 1.7, 2.3];
+
+const FAULTS: [(Fault, &str); 5] = [
+    (Fault::None, "none"),
+    (Fault::Slow, "slow target"),
+    (Fault::Lost, "lost target"),
+    (Fault::Host, "lost host"),
+    (Fault::Split, "two composers"),
+];
+
+const COLUMNS: [&str; 9] = [
+    "design",
+    "hosts",
+    "load",
+    "fault",
+    "in time %",
+    "to hosts alone",
+    "by kind %",
+    "worth in time/s",
+    "pieces a call",
+];
+
+/// Runs the command.
+pub fn run(mut args: Arguments, output: &Output) -> Result<()> {
+    let seeds: u64 = args.opt_value_from_str("--seeds")?.unwrap_or(10);
+    let hosts = args.opt_value_from_fn("--hosts", numbers)?.unwrap_or_else(|| vec![6, 30, 86]);
+    let faults = args.contains("--faults");
+    finish(args)?;
+    let mut rows = Vec::new();
+    let mut lines = Vec::new();
+    let loads: Vec<(Load, &str)> = match faults {
+        true => {
+            let load = |fault| Load { hosts: hosts[0], factor: 1.0, fault };
+            FAULTS.map(|(fault, name)| (load(fault), name)).to_vec()
+        }
+        false => {
+            let all = hosts.iter().flat_map(|h| FACTORS.map(|f| (*h, f)));
+            all.map(|(hosts, factor)| (Load { hosts, factor, fault: Fault::None }, "none"))
+                .collect()
+        }
+    };
+    for (load, fault) in loads {
+        let worths = add_rows(&mut rows, load, fault, seeds);
+        lines.push((load.hosts, load.factor, worths));
+    }
+    let title = format!("Stages in batches, days of {} s, seeds 1 to {seeds}", DAY.0 / 1000);
+    output.tables(&[Table { title, columns: COLUMNS.map(str::to_owned).to_vec(), rows }])?;
+    plot(output, &lines)
+}
+
+fn numbers(text: &str) -> Result<Vec<usize>, String> {
+    let all: Result<Vec<usize>, _> = text.split(',').map(str::parse).collect();
+    match all {
+        Ok(all) if !all.contains(&0) => Ok(all),
+        _ => Err(format!("'{text}': give numbers of hosts from 1 up, such as 6,30")),
+    }
+}
+
+/// One row for each design. Gives the worth in time a second of each.
+fn add_rows(rows: &mut Vec<Vec<String>>, load: Load, fault: &str, seeds: u64) -> Vec<f64> {
+    let days: Vec<Vec<Served>> = DESIGNS
+        .iter()
+        .map(|(design, _)| (1..=seeds).map(|seed| play(*design, load, seed)).collect())
+        .collect();
+    let share = |days: &[Served]| spread(days, |d| d.in_time() * 100.0);
+    let alone = share(&days[1]).median;
+    let mut worths = Vec::new();
+    for ((_, name), days) in DESIGNS.iter().zip(&days) {
+        let worth = spread(days, |d| d.worth.1 * 1000.0 / DAY.0 as f64);
+        let fill = spread(days, |d| d.calls.1 as f64 / d.calls.0.max(1) as f64);
+        rows.push(vec![
+            (*name).to_owned(),
+            load.hosts.to_string(),
+            load.factor.to_string(),
+            fault.to_owned(),
+            share(days).show(1),
+            format!("{:.2}", share(days).median / alone.max(0.1)),
+            by_kind(days),
+            worth.show(1),
+            fill.show(1),
+        ]);
+        worths.push(worth.median);
+    }
+    worths
+}
+
+fn spread(days: &[Served], of: impl Fn(&Served) -> f64) -> Spread {
+    Spread::of(&days.iter().map(of).collect::<Vec<_>>())
+}
+
+fn by_kind(days: &[Served]) -> String {
+    let share = |i: usize| {
+        let one = |d: &Served| d.kinds[i].1 as f64 * 100.0 / d.kinds[i].0.max(1) as f64;
+        format!("{} {:.0}", KINDS[i].name, spread(days, one).median)
+    };
+    (0..KINDS.len()).map(share).collect::<Vec<_>>().join(", ")
+}
+
+fn plot(output: &Output, lines: &[(usize, f64, Vec<f64>)]) -> Result<()> {
+    let most = lines.iter().map(|(hosts, ..)| *hosts).max().unwrap_or(0);
+    let line = |i: usize| Series {
+        name: DESIGNS[i].1.to_owned(),
+        points: lines.iter().filter(|l| l.0 == most).map(|l| (l.1, l.2[i])).collect(),
+    };
+    let series: Vec<Series> = (0..DESIGNS.len()).map(line).collect();
+    let axes = Axes {
+        title: format!("Worth served in time, {most} hosts"),
+        x: "load, as a multiple of the ordinary".to_owned(),
+        y: "worth a second".to_owned(),
+    };
+    output.plot(&axes, &series)
+}
--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -168,6 +168,11 @@
         self.app.core.settings().clone()
     }
 
+    /// What it counts, as its metrics address serves it.
+    pub fn metrics(&self) -> String {
+        String::from_utf8_lossy(&self.app.core.metrics.text()).into_owned()
+    }
+
     /// Whether the platform should send callers here.
     pub fn ready(&self) -> bool {
         self.app.core.ready()
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -7,6 +7,9 @@
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
 
+/// Name under which the error of a request's stages together is counted.
+pub(crate) const ALL_STAGES: &str = "all";
+
 /// The host's instruments. Labels are bounded by the declared routes and services.
 pub(crate) struct Metrics {
     registry: Registry,
@@ -16,6 +19,7 @@
     refusals: Counter<u64>,
     sends: Counter<u64>,
     stages: Histogram<u64>,
+    errors: Histogram<u64>,
     calls: Histogram<u64>,
     passed: Counter<u64>,
     connections: Counter<u64>,
@@ -36,6 +40,7 @@
             refusals: meter.u64_counter("edge_refusals").build(),
             sends: meter.u64_counter("edge_sends").build(),
             stages: meter.u64_histogram("edge_stage_ms").build(),
+            errors: meter.u64_histogram("edge_prediction_error_ms").build(),
             calls: meter.u64_histogram("edge_call_pieces").build(),
             passed: meter.u64_counter("edge_passed_on").build(),
             connections: meter.u64_counter("edge_connections_refused").build(),
@@ -67,6 +72,14 @@
         self.stages.record(took.0, &[KeyValue::new("service", service.to_owned())]);
     }
 
+    /// What was expected to take `expected` took `took`. `what` is a service, or [`ALL_STAGES`].
+    pub(crate) fn predicted(&self, what: &str, expected: Ms, took: Ms) {
+        let side = if took > expected { "later" } else { "sooner" };
+        let error = took.0.abs_diff(expected.0);
+        let what = KeyValue::new("service", what.to_owned());
+        self.errors.record(error, &[what, KeyValue::new("side", side)]);
+    }
+
     /// A call with so many pieces was sent.
     pub(crate) fn call(&self, service: &str, pieces: usize) {
         self.calls.record(pieces as u64, &[KeyValue::new("service", service.to_owned())]);
--- a/crates/edge/src/stages.rs
+++ b/crates/edge/src/stages.rs
@@ -11,6 +11,7 @@
 
 use crate::host::App;
 use crate::members::Owner;
+use crate::metrics::ALL_STAGES;
 use crate::refusal::Reason;
 use crate::remote::{self, Missed};
 use crate::request::Call;
@@ -109,6 +110,10 @@
 
     /// What the engine gets.
     fn close(mut self) -> Results {
+        if let Some(expected) = self.expected() {
+            let took = self.app.core.clock.now() - self.call.arrived;
+            self.app.core.metrics.predicted(ALL_STAGES, expected, took);
+        }
         let mut results = Results::new(self.app.clone());
         let last = self.call.route.last_stages().filter_map(|i| self.done[i].as_ref());
         results.set_handles(last.flat_map(|h| h.iter().cloned()).collect());
@@ -117,6 +122,14 @@
         results
     }
 
+    /// Time that all stages were expected to take when the request came; none without stages.
+    fn expected(&self) -> Option<Ms> {
+        let engine = self.app.core.estimate().first_event(self.call.ask.tokens_in);
+        let pieces = |i: &usize| self.call.ask.pieces.get(*i).is_none_or(|p| *p > 0);
+        let made = (0..self.times.len()).filter(pieces);
+        made.map(|i| self.times[i] + self.after[i] - engine).max()
+    }
+
     async fn finish(&mut self) -> Result<(), StageFault> {
         loop {
             let held_back = self.begin();
@@ -278,6 +291,7 @@
         if let Some(begun) = self.begun[i] {
             self.app.core.estimate().record(service, now - begun);
             self.app.core.metrics.stage(service.as_str(), now - begun);
+            self.app.core.metrics.predicted(service.as_str(), self.times[i], now - begun);
         }
         self.done[i] = Some(output.results.iter().map(|r| r.handle.clone()).collect());
         self.held[i] = Some(output);
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -21,6 +21,7 @@
 mod script;
 mod serve;
 mod server;
+pub mod stages;
 mod synth;
 mod world;
 
