siskinwheel check: deploy files, their templates as they come out, and edge settings

A misspelt field of a template was found only when hosts did not start. The template is filled in with example fields and parsed as a host parses it; errors name file, line and what to do, exit code 3.

--- a/bins/siskinwheel/src/args.rs
+++ b/bins/siskinwheel/src/args.rs
@@ -24,6 +24,8 @@
 /// What to do.
 pub enum Command {
     Check { file: PathBuf, kind: Option<FileKind> },
+    CheckEdge { file: PathBuf },
+    CheckDeploy { file: PathBuf },
     Diff { file: PathBuf },
     Apply { file: PathBuf, note: Note, from: Option<Generation>, wait: Option<Ms> },
     Show,
@@ -72,6 +74,8 @@
         let none = self.platform.is_none();
         match &self.command {
             Command::Check { .. }
+            | Command::CheckEdge { .. }
+            | Command::CheckDeploy { .. }
             | Command::Explain { file: Some(_), .. }
             | Command::Story { .. } => {}
             Command::Apply { .. } | Command::Leave { .. } if none => {
@@ -102,13 +106,20 @@
 }
 
 fn check(args: &mut Arguments) -> Result<Command> {
+    if args.contains("--edge") {
+        return Ok(Command::CheckEdge { file: file(args)? });
+    }
     let kind = match (args.contains("--settings"), args.contains("--fleet")) {
         (false, false) => None,
         (true, false) => Some(FileKind::Settings),
         (false, true) => Some(FileKind::Fleet),
         (true, true) => bail!("--settings and --fleet exclude each other"),
     };
-    Ok(Command::Check { file: file(args)?, kind })
+    let file = file(args)?;
+    Ok(match file.extension().is_some_and(|e| e == "toml") {
+        true => Command::CheckDeploy { file },
+        false => Command::Check { file, kind },
+    })
 }
 
 fn apply(args: &mut Arguments, hosts: &[SocketAddr]) -> Result<Command> {
--- a/bins/siskinwheel/src/run.rs
+++ b/bins/siskinwheel/src/run.rs
@@ -4,8 +4,11 @@
 use base::{Clock, Generation, Ms, SystemClock};
 use conf::Plan;
 use ctl::{
-    Accepted, ChangeNote, Differences, Exit, History, Reach, Shown, Source, Status, all_members,
+    Accepted, ChangeNote, Checked, CtlError, Differences, Exit, History, Reach, Shown, Source,
+    Status, all_members,
 };
+use edge::Settings;
+use platform::deploy::{self, DeployError};
 use serde::Serialize;
 use std::fmt::Display;
 use std::path::{Path, PathBuf};
@@ -29,6 +32,17 @@
         Command::Check { file, kind } => {
             options.print(&ctl::check(&read(file)?, *kind, now)?, Exit::Done)
         }
+        Command::CheckEdge { file } => {
+            let unusable = |e| CtlError::Unusable(format!("{}: {e}", file.display()));
+            let settings = Settings::parse(&read(file)?).map_err(unusable)?;
+            let summary = format!("settings of edge host {}", settings.host);
+            options.print(&Checked { summary, warnings: Vec::new() }, Exit::Done)
+        }
+        Command::CheckDeploy { file } => {
+            let unusable = |e: DeployError| CtlError::Unusable(e.to_string());
+            let summary = deploy::check(file, Path::new(".")).map_err(unusable)?;
+            options.print(&Checked { summary, warnings: Vec::new() }, Exit::Done)
+        }
         Command::Diff { file } => {
             let object = options.source()?.fleet().await?;
             let differences = Differences::of(&read(file)?, &object)?;
@@ -108,11 +122,11 @@
 
 async fn plan(options: &Options, file: Option<&Path>) -> Result<Plan> {
     if let Some(file) = file {
-        return Ok(Plan::parse(Generation(0), &read(file)?).map_err(ctl::CtlError::from)?);
+        return Ok(Plan::parse(Generation(0), &read(file)?).map_err(CtlError::from)?);
     }
     let object = options.source()?.fleet().await?;
     let plan = Plan::parse(Generation(object.generation), &object.config);
-    Ok(plan.map_err(ctl::CtlError::from)?)
+    Ok(plan.map_err(CtlError::from)?)
 }
 
 impl Options {
--- a/bins/siskinwheel/tests/suite/commands.rs
+++ b/bins/siskinwheel/tests/suite/commands.rs
@@ -93,6 +93,13 @@
     insta::assert_snapshot!("check_faults_json", env.run(&["check", &file, "--json"]));
     let apply = ["apply", &file, "--who", "ada", "--why", "broken", env.platform()];
     assert!(env.run(&apply).starts_with("exit 3"));
+    let file = env.file("edge.yaml", "host: edge-1\nredy: 127.0.0.1:1\n");
+    let said = env.run(&["check", "--edge", &file]);
+    assert!(said.starts_with("exit 3") && said.contains("redy"), "{said}");
+    let file =
+        env.file("system.toml", "build = \"true\"\n[roles.edge]\nrun = \"\"\non = \"edge\"\n");
+    let said = env.run(&["check", &file]);
+    assert!(said.starts_with("exit 3") && said.contains("name the program"), "{said}");
     let file = env.file("none.yaml", "pipelines: [\n");
     insta::assert_snapshot!("check_no_yaml", env.run(&["check", &file]));
     let file = env.file("other.yaml", "a: 1\n");
--- a/crates/ctl/src/error.rs
+++ b/crates/ctl/src/error.rs
@@ -17,6 +17,9 @@
     /// The file can't be used.
     #[error("the file can't be used:\n{0}")]
     Parse(#[from] ParseError),
+    /// A deploy file or an edge host's settings can't be used.
+    #[error("{0}")]
+    Unusable(String),
     /// It can't be told what the file is.
     #[error(
         "neither settings (a field `host`) nor a configuration (a field `pipelines`); say which \
@@ -113,7 +116,7 @@
     /// The exit code that tells this failure.
     pub fn exit(&self) -> Exit {
         match self {
-            Self::Parse(_) | Self::Kind => Exit::Refused,
+            Self::Parse(_) | Self::Unusable(_) | Self::Kind => Exit::Refused,
             Self::Note { .. } => Exit::Usage,
             Self::Raced { .. } | Self::MarkRaced(_) => Exit::Raced,
             Self::Open { .. } => Exit::Open,
