--- a/crates/edge/src/plain.rs
+++ b/crates/edge/src/plain.rs
@@ -62,13 +62,13 @@
             false => left,
         };
         let result = once(core, call, &link, wait).await;
-        tried.push(link);
+        tried.push(link.clone());
         match result {
             Tried::Whole(response) => return response,
             Tried::NotRun => {}
             Tried::Failed(response) => {
                 runs += 1;
-                failed = Some(response);
+                failed = Some((response, link));
             }
             Tried::Lost => runs += 1,
         }
@@ -83,12 +83,27 @@
         }
     };
     // A target's own failure says more than ours.
-    if let Some(response) = failed {
+    if let Some((response, target)) = failed {
+        passed_on(core, call, &response, &target, runs);
         return response;
     }
     give_up(core, call, reason, tried.len(), runs)
 }
 
+fn passed_on(core: &Core, call: &Call, response: &Response<Out>, target: &Link, runs: u32) {
+    let now = core.clock.now();
+    note!(
+        logs::Event::FailurePassedOn,
+        request = %call.ask.id,
+        route = %call.route.name,
+        target = target.name(),
+        status = response.status().as_u16(),
+        took_ms = (now - call.arrived).0,
+        left_ms = call.left(now).0,
+        runs
+    );
+}
+
 async fn once(core: &Core, call: &Call, link: &Arc<Link>, wait: Ms) -> Tried {
     let begun = core.clock.now();
     let build = || call.onward(headers(core, call, link, &[], call.ask.last_event, None));
--- a/crates/edge/src/request.rs
+++ b/crates/edge/src/request.rs
@@ -12,6 +12,7 @@
 use std::sync::atomic::Ordering;
 
 use crate::body::Out;
+use crate::core::Core;
 use crate::dialect::Ask;
 use crate::host::App;
 use crate::refusal::{Reason, refuse};
@@ -71,6 +72,7 @@
         Err(err) => return refuse(&core, "", Reason::Unreadable(err), Ms::ZERO),
     };
     let id = ask.id.clone();
+    let waits = Waits { core: core.clone(), request: id.clone(), arrived, answered: false };
     let mut response = match admit(&app, arrived, ask, parts, body).await {
         Ok(call) if call.route.repeat.is_stream() => stream::run(app.clone(), call).await,
         Ok(call) => plain::run(&core, &call).await,
@@ -87,6 +89,7 @@
             refuse(&core, &id, reason, left)
         }
     };
+    waits.close();
     if core.stopping() {
         // The caller's next request goes to a host that stays.
         let close = header::HeaderValue::from_static("close");
@@ -104,6 +107,31 @@
     }
 }
 
+/// A caller that waits for the head of its answer. Dropped before that, the caller has left: its
+/// request is dropped with its connection, and no other line would tell what came of it.
+struct Waits {
+    core: Arc<Core>,
+    request: Arc<str>,
+    arrived: Ms,
+    answered: bool,
+}
+
+impl Waits {
+    fn close(mut self) {
+        self.answered = true;
+    }
+}
+
+impl Drop for Waits {
+    fn drop(&mut self) {
+        if self.answered {
+            return;
+        }
+        let took = self.core.clock.now() - self.arrived;
+        note!(logs::Event::CallerLeft, request = %self.request, took_ms = took.0);
+    }
+}
+
 async fn admit(
     app: &App,
     arrived: Ms,
--- a/crates/edge/src/stages.rs
+++ b/crates/edge/src/stages.rs
@@ -53,7 +53,9 @@
 /// Does all stages. Gives their results; the request itself has not run.
 pub(crate) async fn run(app: &Arc<App>, call: &Call) -> Result<Results, Reason> {
     let mut run = Run::new(app, call);
-    match run.finish().await {
+    let end = run.finish().await;
+    run.ended = true;
+    match end {
         Ok(()) => Ok(run.close()),
         Err(_) if call.left(app.core.clock.now()) == Ms::ZERO => Err(Reason::NoTime),
         Err(StageFault::Late(wait)) => Err(Reason::Stages(wait)),
@@ -78,6 +80,8 @@
     lapse: Vec<Ms>,
     working: FuturesUnordered<Working>,
     redone: u32,
+    /// Whether it came to an end of its own.
+    ended: bool,
 }
 
 impl<'a> Run<'a> {
@@ -105,6 +109,7 @@
             lapse: vec![Ms::MAX; count],
             working: FuturesUnordered::new(),
             redone: 0,
+            ended: false,
         }
     }
 
@@ -166,6 +171,24 @@
         );
     }
 
+    fn note_withdrawn(&self) {
+        let now = self.app.core.clock.now();
+        let open = |i: &usize| self.done[*i].is_none() && self.begun[*i].is_some();
+        let open: Vec<usize> = (0..self.done.len()).filter(open).collect();
+        let stages = &self.call.route.stages;
+        let names: Vec<String> =
+            open.iter().map(|i| format!("{i}:{}", stages[*i].service)).collect();
+        let since = open.iter().filter_map(|i| self.begun[*i]).min();
+        note!(
+            logs::Event::StagesWithdrawn,
+            request = %self.call.ask.id,
+            route = %self.call.route.name,
+            stages = names.join(","),
+            waited_ms = since.map(|at| (now - at).0),
+            left_ms = self.call.left(now).0
+        );
+    }
+
     /// Hands in every stage whose inputs are there and whose time has come. Says whether one is
     /// held back.
     fn begin(&mut self) -> bool {
@@ -338,6 +361,9 @@
 impl Drop for Run<'_> {
     /// A request that failed, or whose caller has gone, holds nothing any more.
     fn drop(&mut self) {
+        if !self.ended {
+            self.note_withdrawn();
+        }
         (0..self.held.len()).for_each(|i| self.give_up(i));
     }
 }
--- a/crates/logs/src/event.rs
+++ b/crates/logs/src/event.rs
@@ -63,6 +63,9 @@
     StageRedone = 204, Info, "Results that a stage reads are gone; they are made again.";
     RequestServed = 205, Info, "A request got its answer; ordinary ones are sampled.";
     StageEnded = 206, Debug, "A stage of a request ended: how, after what time, and how late for the aim.";
+    CallerLeft = 207, Info, "A caller left before its answer began.";
+    StagesWithdrawn = 208, Info, "Stages of a request were withdrawn, since its caller left.";
+    FailurePassedOn = 209, Info, "A target's own failure was passed on to the caller.";
     AnswerMismatch = 300, Warn, "An answer belonged to another request, stage or attempt and was dropped with its connection.";
     ConnectionSilent = 301, Warn, "A connection to a target went silent while the target answers on a new one.";
     TargetDead = 302, Warn, "A target is silent on new connections too.";
