--- a/crates/edge/src/core.rs
+++ b/crates/edge/src/core.rs
@@ -157,9 +157,11 @@
         lock(&self.estimate)
     }
 
-    /// Whether an ordinary success gets a log line, and for how many it stands.
-    pub(crate) fn sample(&self) -> Option<u64> {
-        lock(&self.sampler).take(self.clock.now())
+    /// Whether a success gets a log line, and for how many it stands. A late one always does, for
+    /// none but itself where the sample passes over it: callers complain of it as of a failure.
+    pub(crate) fn sample(&self, late: bool) -> Option<u64> {
+        let sampled = lock(&self.sampler).take(self.clock.now());
+        sampled.or(late.then_some(0))
     }
 
     /// A connection to a target went silent under a request. When those to several targets do at
--- a/crates/edge/src/plain.rs
+++ b/crates/edge/src/plain.rs
@@ -141,7 +141,7 @@
     core.poison().clear(call.fingerprint);
     core.metrics.sent(&call.route.name, "good");
     core.metrics.answered(&call.route.name, now - call.arrived, call.route.aim);
-    if let Some(stands_for) = core.sample() {
+    if let Some(stands_for) = core.sample(now - call.arrived > call.route.aim) {
         note!(
             logs::Event::RequestServed,
             request = %call.ask.id,
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -295,8 +295,9 @@
         let Some(open) = self.open.take() else { return };
         self.core.poison().clear(self.call.fingerprint);
         self.core.metrics.sent(&self.call.route.name, "good");
-        if let Some(stands_for) = self.core.sample() {
-            let now = self.core.clock.now();
+        let now = self.core.clock.now();
+        let late = self.first.is_none_or(|at| at - self.call.arrived > self.call.route.aim);
+        if let Some(stands_for) = self.core.sample(late) {
             note!(
                 logs::Event::RequestServed,
                 request = %self.call.ask.id,
@@ -376,3 +377,20 @@
     let shared = prompt.len().saturating_sub(2);
     prompt.get(shared).map_or(0, |part| part.id)
 }
+
+impl Drop for Relay {
+    /// A caller that leaves in the middle of its stream takes the relay with it.
+    fn drop(&mut self) {
+        let Some(open) = self.open.as_ref().filter(|_| self.first.is_some()) else { return };
+        let now = self.core.clock.now();
+        note!(
+            logs::Event::StreamLeft,
+            request = %self.call.ask.id,
+            route = %self.call.route.name,
+            target = open.link.name(),
+            first_ms = self.first.map(|at| (at - self.call.arrived).0),
+            took_ms = (now - self.call.arrived).0,
+            left_ms = self.call.left(now).0
+        );
+    }
+}
--- a/crates/edge/src/stages.rs
+++ b/crates/edge/src/stages.rs
@@ -158,8 +158,16 @@
     fn note(&self, i: usize, fault: Option<StageFault>) {
         let now = self.app.core.clock.now();
         let due = self.call.arrived + self.call.route.aim - self.after[i];
+        let wait = match fault {
+            Some(StageFault::Late(wait)) => Some(wait.0),
+            _ => None,
+        };
+        let event = match fault {
+            Some(_) => logs::Event::StageFailed,
+            None => logs::Event::StageEnded,
+        };
         note!(
-            logs::Event::StageEnded,
+            event,
             request = %self.call.ask.id,
             stage = i,
             service = %self.call.route.stages[i].service,
@@ -167,7 +175,8 @@
             fault = fault.map_or("none", StageFault::name),
             took_ms = self.begun[i].map(|begun| (now - begun).0),
             late_ms = (now - due).0,
-            left_ms = self.call.left(now).0
+            left_ms = self.call.left(now).0,
+            wait_ms = wait
         );
     }
 
--- a/crates/logs/src/event.rs
+++ b/crates/logs/src/event.rs
@@ -66,6 +66,8 @@
     CallerLeft = 207, Info, "A caller left before its answer began.";
     StagesWithdrawn = 208, Info, "Stages of a request were withdrawn, since its caller left.";
     FailurePassedOn = 209, Info, "A target's own failure was passed on to the caller.";
+    StageFailed = 210, Info, "A stage of a request could not be made: how it ended, and how long one handed in now would wait.";
+    StreamLeft = 211, Info, "A caller left in the middle of its stream.";
     AnswerMismatch = 300, Warn, "An answer belonged to another request, stage or attempt and was dropped with its connection.";
     ConnectionSilent = 301, Warn, "A connection to a target went silent while the target answers on a new one.";
     TargetDead = 302, Warn, "A target is silent on new connections too.";
