--- a/crates/edge/src/stages.rs
+++ b/crates/edge/src/stages.rs
@@ -1,21 +1,20 @@
 //! The stages of one request: each handed in as soon as those that it reads are done.
 
-use base::{HostId, Ms, PoolId, RegionId};
+use base::{Ms, PoolId, RegionId};
 use catalog::Batch;
 use futures::StreamExt;
 use futures::future::BoxFuture;
 use futures::stream::FuturesUnordered;
 use logs::note;
 use std::sync::Arc;
-use wire::{PieceFault, StageRelease, StageResults, StageWork};
+use wire::{StageRelease, StageWork};
 
 use crate::host::App;
-use crate::members::Owner;
 use crate::metrics::ALL_STAGES;
 use crate::refusal::Reason;
-use crate::remote::{self, Missed};
 use crate::request::Call;
 use crate::results::{self, Results, StageOutput, free};
+use crate::submit::{StageFault, submit};
 
 /// How early a stage beside a longer chain begins, as a multiple of its expected time: late, it
 /// would hold the whole request up.
@@ -28,28 +27,6 @@
 /// Times that a stage is done again because results that it read are gone.
 const REDONE: u32 = 1;
 
-/// How a stage failed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum StageFault {
-    /// What it read is gone.
-    Gone,
-    /// Its time ran out, or would have. A piece handed in now would wait this long for a call.
-    Late(Ms),
-    /// Its targets failed.
-    Failed,
-}
-
-impl StageFault {
-    /// Its name in logs.
-    const fn name(self) -> &'static str {
-        match self {
-            Self::Gone => "gone",
-            Self::Late(_) => "late",
-            Self::Failed => "failed",
-        }
-    }
-}
-
 /// Does all stages. Gives their results; the request itself has not run.
 pub(crate) async fn run(app: &Arc<App>, call: &Call) -> Result<Results, Reason> {
     let mut run = Run::new(app, call);
@@ -380,51 +357,3 @@
 fn batch<'a>(call: &'a Call, service: &PoolId) -> Option<&'a Batch> {
     call.catalog.service(service)?.batch.as_ref()
 }
-
-/// Hands a stage to whoever composes its service's calls.
-async fn submit(
-    app: &Arc<App>,
-    service: &PoolId,
-    region: &RegionId,
-    work: StageWork,
-) -> Result<StageOutput, StageFault> {
-    let core = &app.core;
-    let settings = core.settings().clone();
-    let owner = core.members.owner(&settings, service, region).unwrap_or(Owner::Me);
-    if let Owner::Peer { host, addr } = &owner {
-        match remote::make(core, host, *addr, work.clone()).await {
-            Ok(results) => return output(service, owner, results),
-            Err(Missed::Late) => return Err(StageFault::Late(Ms::ZERO)),
-            Err(Missed::Lost) => {}
-        }
-    }
-    // Alone: calls are less full, and nothing is lost.
-    let results = app.composer.submit(work).await;
-    output(service, Owner::Me, results)
-}
-
-fn output(
-    service: &PoolId,
-    owner: Owner,
-    results: StageResults,
-) -> Result<StageOutput, StageFault> {
-    // The host that was asked may have passed the stage on.
-    let owner = match results.owner.parse() {
-        Ok(addr) => Owner::Peer { host: HostId::from(results.owner.as_str()), addr },
-        Err(_) => owner,
-    };
-    let wait = Ms(results.wait_ms);
-    let results = results.results;
-    let fault = |f: PieceFault| results.iter().any(|r| r.fault() == f);
-    let failed = match () {
-        () if results.is_empty() => Some(StageFault::Failed),
-        () if fault(PieceFault::Gone) => Some(StageFault::Gone),
-        () if fault(PieceFault::Late) => Some(StageFault::Late(wait)),
-        () if fault(PieceFault::Room) || fault(PieceFault::Failed) => Some(StageFault::Failed),
-        () => None,
-    };
-    match failed {
-        None => Ok(StageOutput { service: service.clone(), owner, results }),
-        Some(fault) => Err(fault),
-    }
-}
--- a/crates/model/src/stages/mod.rs
+++ b/crates/model/src/stages/mod.rs
@@ -8,9 +8,13 @@
 //!
 //! The engine after the stages is a constant time here: the rest of this crate models engines.
 
+mod design;
+mod faults;
 mod path;
 mod play;
+mod requests;
 mod targets;
 
+pub use design::{Design, Fault, Load, Served};
 pub use path::KINDS;
-pub use play::{DAY, Design, Fault, Load, Served, play};
+pub use play::{DAY, play};
--- a/crates/model/src/stages/play.rs
+++ b/crates/model/src/stages/play.rs
@@ -4,91 +4,21 @@
 use catalog::Batch;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use sched::batch::{
-    Batcher, CallEnd, CallId, Effect, Event, Piece, PieceEnd, PieceId, Place, Source,
-};
+use sched::batch::{Batcher, CallEnd, CallId, Effect, Event, PieceEnd, PieceId, Place};
 use sched::budget::Allowance;
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, HashSet};
 
-use super::path::{self, ENGINE, KEEP, KINDS, Kind, PATIENCE, RATE, TARGETS};
+use super::design::{Design, Fault, Load, Served};
+use super::faults::{FAULT, NOTICE};
+use super::path::{self, KEEP, Kind, RATE, TARGETS};
 use super::targets::{Call, Target, name, number};
 
 /// Length of a day, ms.
 pub const DAY: Ms = Ms(25_000);
-/// When a fault begins and ends.
-const FAULT: (Ms, Ms) = (Ms(6_000), Ms(14_000));
-/// Time of a [`Design::Window`] in which pieces are gathered: a third of a call.
-const WINDOW: Ms = Ms(100);
-/// Time until the hosts notice that a composer is gone, or a target.
-const NOTICE: (Ms, Ms) = (Ms(400), Ms(3_000));
-/// A slow target takes this many times as long.
-const SLOW: u64 = 5;
-
-/// Who fills the calls.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Design {
-    /// Each stage of each request is a call of its own.
-    Single,
-    /// Each host fills calls with its own pieces.
-    Alone,
-    /// The same, and each host gathers pieces for a while first.
-    Window,
-    /// A target's calls come from one host at a time; the lease moves on after each.
-    Lease,
-    /// Each target has a host of its own, that gets a stage from two targets' by its queue.
-    Own,
-    /// One host for all calls of a service.
-    Composer,
-}
-
-/// What fails between six and fourteen seconds of the day.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Fault {
-    /// Nothing.
-    None,
-    /// One target of each service is five times slower.
-    Slow,
-    /// One target of each service is gone without a word.
-    Lost,
-    /// The hosts that compose are gone; others follow. Other designs lose the hosts' pieces alike.
-    Host,
-    /// Hosts see different others: two compose for all targets, each for half of the hosts.
-    Split,
-}
-
-/// What comes, and what fails.
-#[derive(Clone, Copy, Debug)]
-pub struct Load {
-    /// Entry hosts.
-    pub hosts: usize,
-    /// Requests, as a multiple of the co-operative's ordinary load.
-    pub factor: f64,
-    /// What fails.
-    pub fault: Fault,
-}
-
-/// What a day came to.
-#[derive(Clone, Debug, Default)]
-pub struct Served {
-    /// Requests and those in time, by kind.
-    pub kinds: [(u64, u64); 3],
-    /// Worth of all requests, and of those in time.
-    pub worth: (f64, f64),
-    /// Calls, and pieces in them.
-    pub calls: (u64, u64),
-}
-
-impl Served {
-    /// Share of requests that were in time.
-    pub fn in_time(&self) -> f64 {
-        let sum = self.kinds.iter().fold((0, 0), |a, k| (a.0 + k.0, a.1 + k.1));
-        sum.1 as f64 / sum.0.max(1) as f64
-    }
-}
 
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum What {
+pub(super) enum What {
     Arrive(usize),
     Submit(u64, usize),
     Wake(usize),
@@ -99,50 +29,50 @@
     Over,
 }
 
-struct Request {
-    kind: &'static Kind,
-    host: usize,
-    since: Ms,
-    pieces: Vec<u64>,
+pub(super) struct Request {
+    pub(super) kind: &'static Kind,
+    pub(super) host: usize,
+    pub(super) since: Ms,
+    pub(super) pieces: Vec<u64>,
     /// Pieces by stage: those to be made, and those made.
-    left: Vec<u64>,
-    made: Vec<Vec<(PieceId, usize)>>,
+    pub(super) left: Vec<u64>,
+    pub(super) made: Vec<Vec<(PieceId, usize)>>,
     /// Pieces of the stage that have not read their inputs.
-    unread: Vec<u64>,
-    over: bool,
+    pub(super) unread: Vec<u64>,
+    pub(super) over: bool,
 }
 
-struct Unit {
-    service: usize,
-    batcher: Batcher,
-    wake: Ms,
+pub(super) struct Unit {
+    pub(super) service: usize,
+    pub(super) batcher: Batcher,
+    pub(super) wake: Ms,
     /// Targets that it composes for while all are well.
-    places: Vec<usize>,
+    pub(super) places: Vec<usize>,
     /// Its host is gone.
-    dead: bool,
+    pub(super) dead: bool,
 }
 
-struct World {
-    now: Ms,
-    heap: BinaryHeap<Reverse<(Ms, u64, What)>>,
-    order: u64,
-    rng: ChaCha8Rng,
-    design: Design,
-    load: Load,
-    services: [Batch; 3],
-    units: Vec<Unit>,
-    targets: Vec<Target>,
-    requests: HashMap<u64, Request>,
+pub(super) struct World {
+    pub(super) now: Ms,
+    pub(super) heap: BinaryHeap<Reverse<(Ms, u64, What)>>,
+    pub(super) order: u64,
+    pub(super) rng: ChaCha8Rng,
+    pub(super) design: Design,
+    pub(super) load: Load,
+    pub(super) services: [Batch; 3],
+    pub(super) units: Vec<Unit>,
+    pub(super) targets: Vec<Target>,
+    pub(super) requests: HashMap<u64, Request>,
     /// Request and stage of a piece, and the composer that has it.
-    pieces: HashMap<PieceId, (u64, usize, usize)>,
-    made_by: HashMap<PieceId, usize>,
-    next: u64,
-    pending: HashSet<(usize, CallId)>,
-    lease: Vec<usize>,
-    faulty: bool,
+    pub(super) pieces: HashMap<PieceId, (u64, usize, usize)>,
+    pub(super) made_by: HashMap<PieceId, usize>,
+    pub(super) next: u64,
+    pub(super) pending: HashSet<(usize, CallId)>,
+    pub(super) lease: Vec<usize>,
+    pub(super) faulty: bool,
     /// Composers that follow those that are gone.
-    followers: HashMap<usize, usize>,
-    served: Served,
+    pub(super) followers: HashMap<usize, usize>,
+    pub(super) served: Served,
 }
 
 /// Plays a day. The same arguments give the same day.
@@ -157,7 +87,7 @@
 }
 
 impl World {
-    fn new(design: Design, load: Load, seed: u64) -> Self {
+    pub(super) fn new(design: Design, load: Load, seed: u64) -> Self {
         let mut world = Self {
             now: Ms::ZERO,
             heap: BinaryHeap::new(),
@@ -185,7 +115,7 @@
     }
 
     /// The composers of a service, in the order that [`Self::unit`] counts on.
-    fn add_units(&mut self, service: usize) {
+    pub(super) fn add_units(&mut self, service: usize) {
         let first = service * TARGETS;
         let all: Vec<usize> = (first..first + TARGETS).collect();
         match self.design {
@@ -213,7 +143,7 @@
         }
     }
 
-    fn add_unit(&mut self, service: usize, targets: &[usize]) -> usize {
+    pub(super) fn add_unit(&mut self, service: usize, targets: &[usize]) -> usize {
         let allowance = Allowance { ratio: 0.2, slack: 50.0, window: Ms(10_000) };
         let pool = PoolId::from(service.to_string());
         let batcher = Batcher::new(pool, self.services[service].clone(), allowance);
@@ -224,17 +154,17 @@
         unit
     }
 
-    fn tell_targets(&mut self, unit: usize, targets: &[usize]) {
+    pub(super) fn tell_targets(&mut self, unit: usize, targets: &[usize]) {
         let places = targets.iter().map(|t| Place { id: name(*t), born: 1 }).collect();
         self.feed(unit, Event::Targets(places));
     }
 
-    fn at(&mut self, at: Ms, what: What) {
+    pub(super) fn at(&mut self, at: Ms, what: What) {
         self.order += 1;
         self.heap.push(Reverse((at, self.order, what)));
     }
 
-    fn schedule(&mut self) {
+    pub(super) fn schedule(&mut self) {
         let mut at = 0.0;
         loop {
             at += -(1.0 - self.rng.random::<f64>()).ln() * 1_000.0 / (RATE * self.load.factor);
@@ -251,7 +181,7 @@
         }
     }
 
-    fn step(&mut self, what: What) {
+    pub(super) fn step(&mut self, what: What) {
         match what {
             What::Arrive(host) => self.arrive(host),
             What::Submit(request, stage) => self.submit(request, stage),
@@ -265,157 +195,7 @@
         }
     }
 
-    // ---- requests ----
-
-    fn arrive(&mut self, host: usize) {
-        let kind = path::kind(&mut self.rng);
-        let pieces = kind.pieces(&mut self.rng);
-        let count = pieces.len();
-        self.next += 1;
-        let id = self.next;
-        let request = Request {
-            kind,
-            host,
-            since: self.now,
-            left: pieces.clone(),
-            unread: pieces.clone(),
-            made: vec![Vec::new(); count],
-            pieces,
-            over: false,
-        };
-        let of = KINDS.iter().position(|k| k.name == kind.name).unwrap_or(0);
-        self.served.kinds[of].0 += 1;
-        self.served.worth.0 += kind.worth;
-        self.requests.insert(id, request);
-        for stage in 0..count {
-            if kind.stages[stage].after.is_none() {
-                self.start(id, stage);
-            }
-        }
-        self.finish_if_done(id);
-    }
-
-    fn start(&mut self, id: u64, stage: usize) {
-        let window = if self.design == Design::Window { WINDOW } else { Ms::ZERO };
-        if self.requests[&id].pieces[stage] > 0 {
-            self.at(self.now + window, What::Submit(id, stage));
-        }
-    }
-
-    fn submit(&mut self, id: u64, stage: usize) {
-        let request = &self.requests[&id];
-        let declared = &request.kind.stages[stage];
-        let after = request.kind.after(stage, &self.services);
-        let source = match declared.after {
-            None => Source::Key("k".into()),
-            Some(_) => Source::Inputs(Vec::new().into()),
-        };
-        let piece = Piece {
-            request: id.to_string().into(),
-            stage: stage as u32,
-            index: 0,
-            source,
-            due: request.since + request.kind.aim - after,
-            expires: request.since + PATIENCE - after,
-            rank: request.kind.rank,
-            bytes: declared.bytes,
-        };
-        let (service, host, count) = (declared.service, request.host, request.left[stage]);
-        let unit = self.unit(service, host);
-        let mut pieces = Vec::new();
-        for index in 0..count {
-            self.next += 1;
-            let own = PieceId(self.next);
-            self.pieces.insert(own, (id, stage, unit));
-            pieces.push((own, Piece { index: index as u32, ..piece.clone() }));
-        }
-        self.feed(unit, Event::Submit(pieces));
-        self.pass_leases(service);
-    }
-
-    /// The composer that gets a host's pieces.
-    fn unit(&mut self, service: usize, host: usize) -> usize {
-        let unit = self.first_unit(service, host);
-        self.followers.get(&unit).copied().unwrap_or(unit)
-    }
-
-    fn first_unit(&mut self, service: usize, host: usize) -> usize {
-        let first = service * TARGETS;
-        match self.design {
-            Design::Single => {
-                let one = first + self.rng.random_range(0..TARGETS);
-                let two = first + self.rng.random_range(0..TARGETS);
-                self.add_unit(service, &[one, two])
-            }
-            Design::Alone | Design::Window | Design::Lease => service * self.load.hosts + host,
-            Design::Own => {
-                let one = first + self.rng.random_range(0..TARGETS);
-                let two = first + self.rng.random_range(0..TARGETS);
-                let queued = |unit: &usize| self.units[*unit].batcher.queued();
-                [one, two].into_iter().min_by_key(queued).unwrap_or(one)
-            }
-            Design::Composer => {
-                let split = self.faulty && self.load.fault == Fault::Split;
-                service * 2 + usize::from(split && host % 2 == 1)
-            }
-        }
-    }
-
-    fn ended(&mut self, piece: PieceId, end: &PieceEnd, target: Option<usize>) {
-        let Some((id, stage, unit)) = self.pieces.remove(&piece) else { return };
-        let Some(request) = self.requests.get_mut(&id) else { return };
-        let Some(target) = target.filter(|_| matches!(end, PieceEnd::Made(_))) else {
-            request.over = true;
-            return;
-        };
-        request.left[stage] -= 1;
-        request.made[stage].push((piece, target));
-        self.made_by.insert(piece, unit);
-        if request.left[stage] > 0 {
-            return;
-        }
-        let kind = request.kind;
-        for (next, declared) in kind.stages.iter().enumerate() {
-            if declared.after == Some(stage) {
-                self.start(id, next);
-            }
-        }
-        self.finish_if_done(id);
-    }
-
-    fn finish_if_done(&mut self, id: u64) {
-        let Some(request) = self.requests.get(&id) else { return };
-        if request.over || request.left.iter().any(|left| *left > 0) {
-            return;
-        }
-        let of = KINDS.iter().position(|k| k.name == request.kind.name).unwrap_or(0);
-        if self.now + ENGINE <= request.since + request.kind.aim {
-            self.served.kinds[of].1 += 1;
-            self.served.worth.1 += request.kind.worth;
-        }
-        // The engine reads what no other stage reads.
-        let kind = request.kind;
-        for stage in 0..kind.stages.len() {
-            if !kind.stages.iter().any(|s| s.after == Some(stage)) {
-                self.free(id, stage);
-            }
-        }
-    }
-
-    /// Results of a stage are read by all that read them.
-    fn free(&mut self, id: u64, stage: usize) {
-        let Some(request) = self.requests.get_mut(&id) else { return };
-        for (piece, target) in std::mem::take(&mut request.made[stage]) {
-            self.targets[target].kept.remove(&piece);
-            if let Some(unit) = self.made_by.remove(&piece) {
-                self.feed(unit, Event::Freed(name(target), piece.0.to_string()));
-            }
-        }
-    }
-
-    // ---- composers ----
-
-    fn feed(&mut self, unit: usize, event: Event) {
+    pub(super) fn feed(&mut self, unit: usize, event: Event) {
         let mut out = Vec::new();
         self.units[unit].batcher.reduce(self.now, event, &mut out);
         for effect in out {
@@ -449,14 +229,14 @@
         }
     }
 
-    fn answer(&mut self, unit: usize, call: CallId, end: CallEnd) {
+    pub(super) fn answer(&mut self, unit: usize, call: CallId, end: CallEnd) {
         if self.pending.remove(&(unit, call)) {
             self.feed(unit, Event::Ended(call, end));
         }
     }
 
     /// Gives targets that idle to the next hosts in turn that have pieces.
-    fn pass_leases(&mut self, service: usize) {
+    pub(super) fn pass_leases(&mut self, service: usize) {
         if self.design != Design::Lease {
             return;
         }
@@ -477,9 +257,7 @@
         }
     }
 
-    // ---- targets ----
-
-    fn turn(&mut self, target: usize) {
+    pub(super) fn turn(&mut self, target: usize) {
         if self.targets[target].running.is_some() || self.targets[target].lost {
             return;
         }
@@ -493,7 +271,7 @@
     }
 
     /// A call's pieces read their inputs in its turn.
-    fn read(&mut self, call: &Call) {
+    pub(super) fn read(&mut self, call: &Call) {
         for id in &call.ids {
             let Some((request, stage, _)) = self.pieces.get(id).copied() else { continue };
             let Some(known) = self.requests.get_mut(&request) else { continue };
@@ -505,7 +283,7 @@
         }
     }
 
-    fn end(&mut self, target: usize) {
+    pub(super) fn end(&mut self, target: usize) {
         if self.targets[target].lost {
             return;
         }
@@ -524,83 +302,10 @@
         self.pass_leases(self.targets[target].service);
     }
 
-    fn timeout(&mut self, unit: usize, call: CallId, target: usize) {
+    pub(super) fn timeout(&mut self, unit: usize, call: CallId, target: usize) {
         if self.pending.contains(&(unit, call)) {
             self.targets[target].queue.retain(|c| (c.unit, c.id) != (unit, call));
             self.answer(unit, call, CallEnd::Silent);
         }
     }
-
-    // ---- faults ----
-
-    fn begin_fault(&mut self) {
-        self.faulty = true;
-        let first = |service: usize| service * TARGETS;
-        match self.load.fault {
-            Fault::None | Fault::Split => {}
-            Fault::Slow => (0..3).for_each(|s| self.targets[first(s)].slow = SLOW),
-            Fault::Lost => (0..3).for_each(|s| self.targets[first(s)].lost = true),
-            Fault::Host => self.lose_host(),
-        }
-    }
-
-    /// What the lost host's composers had is handed in again, where the others compose.
-    fn lose_host(&mut self) {
-        let gone: Vec<usize> = match self.design {
-            Design::Single => return,
-            Design::Alone | Design::Window | Design::Lease => {
-                (0..3).map(|s| s * self.load.hosts).collect()
-            }
-            Design::Own => (0..3).map(|s| s * TARGETS).collect(),
-            Design::Composer => (0..3).map(|s| s * 2).collect(),
-        };
-        let of = |unit: &usize| gone.contains(unit);
-        self.pending.retain(|(unit, _)| !gone.contains(unit));
-        let left: HashSet<(u64, usize)> =
-            self.pieces.values().filter(|(.., u)| of(u)).map(|(r, s, _)| (*r, *s)).collect();
-        self.pieces.retain(|_, (_, _, unit)| !gone.contains(unit));
-        let mut left: Vec<_> = left.into_iter().collect();
-        left.sort();
-        for (request, stage) in left {
-            self.at(self.now + NOTICE.0, What::Submit(request, stage));
-        }
-        for unit in gone {
-            self.units[unit].dead = true;
-            let (service, places) = (self.units[unit].service, self.units[unit].places.clone());
-            let follower = match self.design {
-                Design::Composer => unit + 1,
-                _ => self.add_unit(service, &places),
-            };
-            self.followers.insert(unit, follower);
-        }
-    }
-
-    /// The hosts hear which targets are left.
-    fn notice(&mut self) {
-        if self.load.fault != Fault::Lost || matches!(self.design, Design::Lease | Design::Single) {
-            return;
-        }
-        for unit in 0..self.units.len() {
-            let mut left = self.units[unit].places.clone();
-            left.retain(|t| !self.targets[*t].lost);
-            self.tell_targets(unit, &left);
-        }
-    }
-
-    fn end_fault(&mut self) {
-        self.faulty = false;
-        let lost = self.targets.iter().any(|t| t.lost);
-        for target in &mut self.targets {
-            let service = target.service;
-            if target.lost || target.slow > 1 {
-                *target = Target::new(service);
-            }
-        }
-        if lost && !matches!(self.design, Design::Lease | Design::Single) {
-            for unit in 0..self.units.len() {
-                let all = self.units[unit].places.clone();
-                self.tell_targets(unit, &all);
-            }
-        }
-    }
 }
--- a/crates/sched/src/batch/mod.rs
+++ b/crates/sched/src/batch/mod.rs
@@ -13,6 +13,8 @@
 //! 2. pieces whose stage can still end in time for the aim, by rank and then by due time;
 //! 3. pieces that will be late anyway, in the room that is left.
 //!
+//! Late pieces that won't get a call while they are of use are ended at once: see `late`.
+//!
 //! Without 2 before 3, order by due time alone serves each request just too late under overload.
 //!
 //! Pieces may be made again, so nothing rests on two hosts agreeing who composes: they lose
