policy: wait queue, capacity, context, health signal

Names that told a story where the field has a term: Line, Room with its hope, Around, Sign, Climb, Spot, Ahead; methods are verbs. No behaviour changed; the tests of policy and model pass as they stand.

--- a/crates/policy/src/admit.rs
+++ b/crates/policy/src/admit.rs
@@ -27,7 +27,7 @@
 
 /// A stage ahead of a request.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub(crate) struct Ahead {
+pub(crate) struct StageWait {
     /// What it takes, ms.
     pub(crate) time: f64,
     /// How long the work that is before it there will take, ms.
@@ -46,7 +46,7 @@
 }
 
 /// Judges whether `stages` fit into `left`.
-pub(crate) fn judge(left: Ms, stages: impl Iterator<Item = Ahead>) -> Judged {
+pub(crate) fn judge(left: Ms, stages: impl Iterator<Item = StageWait>) -> Judged {
     let (mut total, mut alone) = (0.0, 0.0);
     for stage in stages {
         total += (stage.wait - total).max(0.0) + stage.time;
--- a/crates/policy/src/arrive.rs
+++ b/crates/policy/src/arrive.rs
@@ -3,15 +3,15 @@
 use base::{Attempt, Ms};
 use std::sync::Arc;
 
-use crate::admit::{Ahead, Judged, PROBE, judge};
+use crate::admit::{Judged, PROBE, StageWait, judge};
 use crate::fair::Ask;
 use crate::learn::Times;
 use crate::life::{self, Phase, Step};
-use crate::line::{Room, look};
 use crate::open::{Open, Rules, work};
 use crate::route;
 use crate::state::State;
 use crate::view::{View, line};
+use crate::wait_queue::{Capacity, measure};
 use crate::{Arrival, Code, Decision, Effect, Grant, Ledger, Refusal, Verdict};
 
 /// Where all workspaces' work is counted when they aren't told apart.
@@ -191,8 +191,8 @@
         for at in 0..open.costs.len() {
             let stage = &open.view.stages[open.pipeline][at];
             let number = line(stage.kind, open.rules.placement);
-            let room = self.room(now, number);
-            if !room.hope {
+            let capacity = self.capacity(now, number);
+            if !capacity.possible {
                 return Err(No { code: Code::NoTarget, after: Some(SOON) });
             }
             let time = self.times(&open.arrival, stage).mean;
@@ -201,12 +201,12 @@
             let (age, queued) = (fair.age(now, open.flow, lane), fair.queued());
             let crossing = route::asked(&open.view.crossing, stage.engine, slack);
             let ask = Ask { space: open.flow, weight: open.rules.weight, lane, later: at > 0 };
-            let wait = self.wait(number, room, &ask, crossing);
-            let all = queued as f64 / (room.near + room.far).max(1.0);
+            let wait = self.wait(number, capacity, &ask, crossing);
+            let all = queued as f64 / (capacity.near + capacity.far).max(1.0);
             // Less urgent work is overtaken by what comes later. How old the front is shows by
             // how much; but it is old at the end of a burst too, when little is left.
             let wait = wait.max(age.min(all * OVERTAKEN));
-            ahead.push(Ahead { time, wait });
+            ahead.push(StageWait { time, wait });
         }
         match judge(left, ahead.iter().copied()) {
             Judged::Fits => Ok(()),
@@ -236,27 +236,27 @@
     }
 
     /// How long work waits in a line, ms, when a crossing must gain `crossing`, ms.
-    fn wait(&self, number: u32, room: Room, ask: &Ask, crossing: f64) -> f64 {
+    fn wait(&self, number: u32, capacity: Capacity, ask: &Ask, crossing: f64) -> f64 {
         let fair = &self.lines[number as usize].fair;
         let wait = |calls| fair.wait(ask, calls);
-        match room {
-            Room { near, far, .. } if near + far <= 0.0 => SOON.0 as f64,
-            Room { near, far, .. } if near <= 0.0 => wait(far),
-            Room { near, far, .. } if far > 0.0 && wait(near) > crossing => {
+        match capacity {
+            Capacity { near, far, .. } if near + far <= 0.0 => SOON.0 as f64,
+            Capacity { near, far, .. } if near <= 0.0 => wait(far),
+            Capacity { near, far, .. } if far > 0.0 && wait(near) > crossing => {
                 wait(near + far).max(crossing)
             }
-            Room { near, .. } => wait(near),
+            Capacity { near, .. } => wait(near),
         }
     }
 
-    /// What the targets of a line can do, as seen lately.
-    pub(crate) fn room(&mut self, now: Ms, number: u32) -> Room {
-        if let Some(room) = self.lines[number as usize].seen(now) {
-            return room;
+    /// Capacity of a queue's targets, taken again when it is too old.
+    pub(crate) fn capacity(&mut self, now: Ms, number: u32) -> Capacity {
+        if let Some(capacity) = self.lines[number as usize].capacity(now) {
+            return capacity;
         }
-        let room = look(&self.lines, &self.targets, &self.around(now), number);
-        self.lines[number as usize].see(now, room);
-        room
+        let capacity = measure(&self.lines, &self.targets, &self.context(now), number);
+        self.lines[number as usize].record(now, capacity);
+        capacity
     }
 }
 
--- a/crates/policy/src/health.rs
+++ b/crates/policy/src/health.rs
@@ -4,7 +4,7 @@
 use statig::prelude::*;
 
 use crate::Fault;
-use crate::ramp::Climb;
+use crate::ramp::RampUp;
 
 /// Faults in a row that make a target suspect. One may be the request's.
 const FAULTS: u32 = 3;
@@ -15,7 +15,7 @@
 
 /// What is learned of a target's health.
 #[derive(Clone, Copy, Debug)]
-pub(crate) enum Sign {
+pub(crate) enum HealthSignal {
     /// It gave a result.
     Good,
     /// It failed.
@@ -28,7 +28,7 @@
     Back,
 }
 
-/// When a sign came, and how long a climb takes.
+/// When a signal came, and how long a climb takes.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct When {
     pub(crate) now: Ms,
@@ -80,23 +80,25 @@
 #[state_machine(
     initial = "Phase::open()",
     state(name = "Phase", derive(Debug, Clone, Copy, PartialEq)),
-    event_identifier = "sign",
+    event_identifier = "signal",
     context_identifier = "when"
 )]
 impl Health {
     #[state(superstate = "serving")]
-    fn open(when: &mut When, sign: &Sign) -> Outcome<Phase> {
-        match sign {
-            Sign::Fresh => Transition(Phase::climbing(Climb::new(when.now))),
+    fn open(when: &mut When, signal: &HealthSignal) -> Outcome<Phase> {
+        match signal {
+            HealthSignal::Fresh => Transition(Phase::climbing(RampUp::new(when.now))),
             _ => Super,
         }
     }
 
     #[state(superstate = "serving")]
-    fn climbing(climb: &mut Climb, when: &mut When, sign: &Sign) -> Outcome<Phase> {
-        match sign {
-            Sign::Good if climb.share(when.now, when.span).is_none() => Transition(Phase::open()),
-            Sign::Bad(_) => {
+    fn climbing(climb: &mut RampUp, when: &mut When, signal: &HealthSignal) -> Outcome<Phase> {
+        match signal {
+            HealthSignal::Good if climb.share(when.now, when.span).is_none() => {
+                Transition(Phase::open())
+            }
+            HealthSignal::Bad(_) => {
                 *climb = climb.hold(when.now, when.span);
                 Super
             }
@@ -105,40 +107,47 @@
     }
 
     #[state]
-    fn suspect(&mut self, until: &mut Ms, when: &mut When, sign: &Sign) -> Outcome<Phase> {
-        match sign {
-            Sign::Good => {
+    fn suspect(
+        &mut self,
+        until: &mut Ms,
+        when: &mut When,
+        signal: &HealthSignal,
+    ) -> Outcome<Phase> {
+        match signal {
+            HealthSignal::Good => {
                 self.faults = 0;
-                Transition(Phase::climbing(Climb::last(when.now, when.span)))
+                Transition(Phase::climbing(RampUp::last(when.now, when.span)))
             }
             // Calls sent before it became suspect still fail; only a probe's fault counts.
-            Sign::Bad(_) if when.now >= *until => {
+            HealthSignal::Bad(_) if when.now >= *until => {
                 *until = when.now + self.out();
                 Handled
             }
-            Sign::Bad(_) => Handled,
-            Sign::Leaving => Transition(Phase::leaving()),
-            Sign::Fresh | Sign::Back => Transition(Phase::climbing(Climb::new(when.now))),
+            HealthSignal::Bad(_) => Handled,
+            HealthSignal::Leaving => Transition(Phase::leaving()),
+            HealthSignal::Fresh | HealthSignal::Back => {
+                Transition(Phase::climbing(RampUp::new(when.now)))
+            }
         }
     }
 
     #[state]
-    fn leaving(when: &mut When, sign: &Sign) -> Outcome<Phase> {
-        match sign {
-            Sign::Back => Transition(Phase::climbing(Climb::new(when.now))),
+    fn leaving(when: &mut When, signal: &HealthSignal) -> Outcome<Phase> {
+        match signal {
+            HealthSignal::Back => Transition(Phase::climbing(RampUp::new(when.now))),
             _ => Handled,
         }
     }
 
     #[superstate]
-    fn serving(&mut self, when: &mut When, sign: &Sign) -> Outcome<Phase> {
-        match sign {
-            Sign::Good => {
+    fn serving(&mut self, when: &mut When, signal: &HealthSignal) -> Outcome<Phase> {
+        match signal {
+            HealthSignal::Good => {
                 self.faults = 0;
                 self.outs = 0;
                 Handled
             }
-            Sign::Bad(fault) => {
+            HealthSignal::Bad(fault) => {
                 self.faults += 1;
                 let enough = self.faults >= FAULTS || matches!(fault, Fault::Dead | Fault::Broken);
                 match enough {
@@ -146,8 +155,8 @@
                     false => Handled,
                 }
             }
-            Sign::Leaving => Transition(Phase::leaving()),
-            Sign::Fresh | Sign::Back => Handled,
+            HealthSignal::Leaving => Transition(Phase::leaving()),
+            HealthSignal::Fresh | HealthSignal::Back => Handled,
         }
     }
 
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -18,7 +18,6 @@
 mod learn;
 mod life;
 mod limit;
-mod line;
 mod naive;
 mod open;
 mod place;
@@ -33,6 +32,7 @@
 mod state;
 mod target;
 mod view;
+mod wait_queue;
 
 pub use decision::Decision;
 pub use effect::{Code, Effect, Ending, Refusal, Verdict};
--- a/crates/policy/src/open.rs
+++ b/crates/policy/src/open.rs
@@ -89,7 +89,7 @@
         &self.stages()[self.stage]
     }
 
-    /// Line in which its present stage waits.
+    /// Wait queue in which its present stage waits.
     pub(crate) fn line(&self) -> u32 {
         line(self.stage().kind, self.rules.placement)
     }
--- a/crates/policy/src/place.rs
+++ b/crates/policy/src/place.rs
@@ -23,13 +23,13 @@
         let begun = open.stage > 0 || open.tries > 0;
         let (doom, deadline) = (self.doom(open), open.arrival.deadline);
         let (arrived, lane) = (open.arrived, open.lane(open.stage));
-        let hope = self.room(now, number).hope;
+        let possible = self.capacity(now, number).possible;
         let plain = self.without.has(Decision::Queue);
         let fair = &mut self.lines[number as usize].fair;
         let no = match () {
             () if now >= deadline => No { code: Code::DeadlinePassed, after: Some(SOON) },
             () if now >= doom => No { code: Code::Hopeless, after: Some(SOON) },
-            () if !hope => No { code: Code::NoTarget, after: Some(SOON) },
+            () if !possible => No { code: Code::NoTarget, after: Some(SOON) },
             () if plain || begun || fair.has_place(flow, weight, places) => {
                 self.seq += 1;
                 let came = if plain { now } else { arrived };
@@ -65,7 +65,7 @@
             } else if let Some(target) = self.route(now, request) {
                 self.leave_line(request, true);
                 self.send(now, request, target, out);
-            } else if self.room(now, number).hope {
+            } else if self.capacity(now, number).possible {
                 return;
             } else {
                 let no = No { code: Code::NoTarget, after: Some(SOON) };
@@ -102,7 +102,7 @@
 
     /// How long the work in a line takes to be done.
     pub(crate) fn drain(&mut self, now: Ms, number: u32) -> Ms {
-        let room = self.room(now, number);
+        let room = self.capacity(now, number);
         let calls = (room.near + room.far).max(1.0);
         Ms((self.lines[number as usize].fair.queued() as f64 / calls) as u64).max(Ms(100))
     }
@@ -116,8 +116,8 @@
     /// Chooses a target for the present stage of a request.
     fn choose(&mut self, now: Ms, request: RequestId, avoid: Option<u32>) -> Option<u32> {
         let number = self.open.get(&request)?.line();
-        let room = self.room(now, number);
-        let around = self.around(now);
+        let room = self.capacity(now, number);
+        let context = self.context(now);
         let open = self.open.get(&request)?;
         let stage = open.stage();
         let time = self.times(&open.arrival, stage).mean;
@@ -129,15 +129,15 @@
             prefix: if stage.engine { open.arrival.prefix } else { 0 },
             avoid,
             marked: self.poison.marked(now, open.arrival.fingerprint),
-            probe: first || route::all_slow(&self.targets, &around, &stage.tiers),
-            alone: !first && route::all_slow(&self.targets, &around, &stage.tiers),
+            probe: first || route::all_slow(&self.targets, &context, &stage.tiers),
+            alone: !first && route::all_slow(&self.targets, &context, &stage.tiers),
             wait: (queued + time / 2.0) / room.near.max(0.1),
             time,
             crossing: self.crossing(open, stage, now),
         };
         match self.without.has(Decision::Route) {
-            true => route::in_turn(&self.targets, &around, &mut self.turn, &want),
-            false => route::choose(&self.targets, &around, &self.cache, &mut self.rng, &want),
+            true => route::in_turn(&self.targets, &context, &mut self.turn, &want),
+            false => route::choose(&self.targets, &context, &self.cache, &mut self.rng, &want),
         }
     }
 
--- a/crates/policy/src/poison.rs
+++ b/crates/policy/src/poison.rs
@@ -11,7 +11,7 @@
 //! one is convicted, remembered and told of to the other hosts only if no other marked one was
 //! beside it when the second target broke.
 //!
-//! Only a connection that breaks is a sign of a crash: a process that dies closes its sockets,
+//! Only a connection that breaks is a signal of a crash: a process that dies closes its sockets,
 //! while a host or a link that dies is silent. And when [`OUTAGE_TARGETS`] of one failure domain
 //! break within [`OUTAGE`] under requests that weren't marked, the domain fails and not a
 //! request: then nobody is convicted.
@@ -40,7 +40,7 @@
 
 /// Which target broke, and in which failure domain.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct Spot {
+pub(crate) struct FaultSite {
     pub(crate) target: u32,
     pub(crate) domain: u32,
 }
@@ -81,7 +81,7 @@
     }
 
     /// A target broke under a request; `beside` says whether another marked one was on it.
-    pub(crate) fn broke(&mut self, now: Ms, print: u64, at: Spot, beside: bool) -> Blame {
+    pub(crate) fn broke(&mut self, now: Ms, print: u64, at: FaultSite, beside: bool) -> Blame {
         self.forget(now);
         let earlier = self.marks.get(&print).copied().filter(|m| now < m.until);
         let Some(earlier) = earlier else {
--- a/crates/policy/src/ramp.rs
+++ b/crates/policy/src/ramp.rs
@@ -19,11 +19,11 @@
 
 /// A target's climb.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) struct Climb {
+pub(crate) struct RampUp {
     since: Ms,
 }
 
-impl Climb {
+impl RampUp {
     /// Starts at `now`.
     pub(crate) fn new(now: Ms) -> Self {
         Self { since: now }
--- a/crates/policy/src/route.rs
+++ b/crates/policy/src/route.rs
@@ -25,7 +25,7 @@
 use crate::cache::Cache;
 use crate::health::Gate;
 use crate::limit::SLOW;
-use crate::target::{Around, Target, Tier};
+use crate::target::{Context, Target, Tier};
 
 /// Targets of a tier that one host uses.
 pub(crate) const SUBSET: usize = 24;
@@ -93,84 +93,84 @@
 /// Chooses a target with room.
 pub(crate) fn choose(
     targets: &[Target],
-    around: &Around,
+    context: &Context,
     cache: &Cache,
     rng: &mut ChaCha8Rng,
     want: &Want<'_>,
 ) -> Option<u32> {
     if want.avoid.is_some() || want.marked {
-        let apart = near_first(targets, around, cache, rng, want, true);
+        let apart = near_first(targets, context, cache, rng, want, true);
         if apart.is_some() {
             return apart;
         }
     }
-    near_first(targets, around, cache, rng, want, false)
+    near_first(targets, context, cache, rng, want, false)
 }
 
 fn near_first(
     targets: &[Target],
-    around: &Around,
+    context: &Context,
     cache: &Cache,
     rng: &mut ChaCha8Rng,
     want: &Want<'_>,
     apart: bool,
 ) -> Option<u32> {
     let kept = |t: u32| Some(t) == want.avoid || want.marked && targets[t as usize].marked > 0;
-    let fits = |t: u32| !(apart && kept(t)) && fits(&targets[t as usize], around, want);
+    let fits = |t: u32| !(apart && kept(t)) && fits(&targets[t as usize], context, want);
     let [domain, region, far] = want.tiers;
-    let found = in_tier(targets, around, cache, rng, want, domain, fits);
+    let found = in_tier(targets, context, cache, rng, want, domain, fits);
     if found.is_some() || want.placement == Placement::Domain {
         return found;
     }
-    let found = in_tier(targets, around, cache, rng, want, region, fits);
+    let found = in_tier(targets, context, cache, rng, want, region, fits);
     if found.is_some() || want.placement == Placement::Region || far.is_empty() {
         return found;
     }
-    let open = |t: &u32| matches!(targets[*t as usize].gate(around), Gate::Share(_));
+    let open = |t: &u32| matches!(targets[*t as usize].gate(context), Gate::Share(_));
     let home = domain.iter().any(open) || region.iter().any(open);
     match home && want.wait <= want.crossing {
         true => None,
-        false => in_tier(targets, around, cache, rng, want, far, fits),
+        false => in_tier(targets, context, cache, rng, want, far, fits),
     }
 }
 
-fn fits(target: &Target, around: &Around, want: &Want<'_>) -> bool {
-    let probed = matches!(target.gate(around), Gate::Probe);
+fn fits(target: &Target, context: &Context, want: &Want<'_>) -> bool {
+    let probed = matches!(target.gate(context), Gate::Probe);
     let pace = target.limit.pace();
     let slow = pace > SLOW && !want.alone && (pace - 1.0) * want.time > want.wait;
     match () {
-        () if !target.room(around) => false,
+        () if !target.room(context) => false,
         () if probed && !want.probe => false,
-        () if slow => want.probe && target.retry <= around.now,
+        () if slow => want.probe && target.retry <= context.now,
         () => true,
     }
 }
 
 /// Whether it is time to find out how a target is. Then it goes first: by its score it would
 /// never be chosen while others have room, and nobody would learn that it is well again.
-fn due(target: &Target, around: &Around) -> bool {
-    let slow = target.limit.pace() > SLOW && target.retry <= around.now;
-    target.running == 0 && (slow || matches!(target.gate(around), Gate::Probe))
+fn due(target: &Target, context: &Context) -> bool {
+    let slow = target.limit.pace() > SLOW && target.retry <= context.now;
+    target.running == 0 && (slow || matches!(target.gate(context), Gate::Probe))
 }
 
 fn in_tier(
     targets: &[Target],
-    around: &Around,
+    context: &Context,
     cache: &Cache,
     rng: &mut ChaCha8Rng,
     want: &Want<'_>,
     tier: &[u32],
     fits: impl Fn(u32) -> bool,
 ) -> Option<u32> {
-    let due = |t: &u32| due(&targets[*t as usize], around) && fits(*t);
+    let due = |t: &u32| due(&targets[*t as usize], context) && fits(*t);
     if let Some(probe) = tier.iter().copied().filter(|_| want.probe).find(due) {
         return Some(probe);
     }
-    let two = two(targets, around.now, rng, tier, &fits)?;
+    let two = two(targets, context.now, rng, tier, &fits)?;
     if want.prefix == 0 {
         return Some(two);
     }
-    let score = |t: u32| targets[t as usize].score(around.now);
+    let score = |t: u32| targets[t as usize].score(context.now);
     let most = (score(two) * BOUND).max(LIGHT);
     let good = |t: &u32| fits(*t) && score(*t) <= most;
     let holder = cache.holders(want.prefix).filter(|t| tier.contains(t)).find(good);
@@ -207,10 +207,10 @@
 }
 
 /// Whether no target of `tiers` is open and as fast as its peers.
-pub(crate) fn all_slow(targets: &[Target], around: &Around, tiers: &Tiers) -> bool {
+pub(crate) fn all_slow(targets: &[Target], context: &Context, tiers: &Tiers) -> bool {
     let well = |t: &u32| {
         let target = &targets[*t as usize];
-        target.limit.pace() <= SLOW && matches!(target.gate(around), Gate::Share(_))
+        target.limit.pace() <= SLOW && matches!(target.gate(context), Gate::Share(_))
     };
     !tiers.iter().flatten().any(well)
 }
@@ -218,12 +218,12 @@
 /// The plainest choice: whoever's turn it is among those of all tiers that have room.
 pub(crate) fn in_turn(
     targets: &[Target],
-    around: &Around,
+    context: &Context,
     turn: &mut usize,
     want: &Want<'_>,
 ) -> Option<u32> {
     let all = want.tiers.iter().flatten().copied();
-    let fitting: Vec<u32> = all.filter(|&t| targets[t as usize].room(around)).collect();
+    let fitting: Vec<u32> = all.filter(|&t| targets[t as usize].room(context)).collect();
     *turn += 1;
     let at = *turn % fitting.len().max(1);
     fitting.get(at).copied()
--- a/crates/policy/src/run.rs
+++ b/crates/policy/src/run.rs
@@ -3,9 +3,9 @@
 use base::{Attempt, Ms, RequestId};
 
 use crate::arrive::{No, SOON};
-use crate::health::Sign;
+use crate::health::HealthSignal;
 use crate::open::Run;
-use crate::poison::{Blame, Spot};
+use crate::poison::{Blame, FaultSite};
 use crate::retry::TRIES;
 use crate::state::State;
 use crate::{Code, Decision, Effect, Ending, Fault, Verdict};
@@ -40,7 +40,7 @@
         open.offset = open.offset.max(offset);
         open.hedge = None;
         if first {
-            self.sign(now, target, Sign::Good);
+            self.signal(now, target, HealthSignal::Good);
             self.cancel_others(now, request, attempt, out);
         }
     }
@@ -59,7 +59,7 @@
         self.cancel_others(now, request, attempt, out);
         self.end_run(request, run);
         self.learn(now, request, run, true);
-        self.sign(now, run.target, Sign::Good);
+        self.signal(now, run.target, HealthSignal::Good);
         let Some(open) = self.open.get_mut(&request) else { return };
         if open.stage().engine && open.arrival.prefix != 0 {
             self.cache.hold(run.target, open.arrival.prefix);
@@ -126,12 +126,13 @@
     /// What a fault says of its target and of its request.
     fn blame(&mut self, now: Ms, request: RequestId, run: Run, fault: Fault) -> Option<Blame> {
         let target = &mut self.targets[run.target as usize];
-        let (spot, beside) = (Spot { target: run.target, domain: target.domain }, target.mixed);
+        let (spot, beside) =
+            (FaultSite { target: run.target, domain: target.domain }, target.mixed);
         if fault == Fault::Full {
             target.limit.full(now);
         }
         if fault.blames() {
-            self.sign(now, run.target, Sign::Bad(fault));
+            self.signal(now, run.target, HealthSignal::Bad(fault));
         }
         let print = self.open.get(&request)?.arrival.fingerprint;
         match fault {
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -9,15 +9,15 @@
 
 use crate::cache::Cache;
 use crate::decision::Without;
-use crate::health::{self, Sign};
+use crate::health::{self, HealthSignal};
 use crate::learn::Learned;
 use crate::limit::Limit;
-use crate::line::Line;
 use crate::open::{Open, Rules};
 use crate::poison::Poison;
 use crate::retry::Tokens;
-use crate::target::{Around, Report, Target};
+use crate::target::{Context, Report, Target};
 use crate::view::{self, Names, View};
+use crate::wait_queue::WaitQueue;
 use crate::{Decision, Effect, Event, Placed, Reducer, hedge};
 
 /// All that an entry host decides by.
@@ -31,7 +31,7 @@
     /// By number of the kind of stage.
     pub(crate) learned: Vec<Learned>,
     /// By number.
-    pub(crate) lines: Vec<Line>,
+    pub(crate) lines: Vec<WaitQueue>,
     /// Lines in which somebody waits.
     pub(crate) busy: BTreeSet<u32>,
     pub(crate) open: HashMap<RequestId, Open>,
@@ -94,9 +94,9 @@
     }
 
     /// What targets are judged by at `now`.
-    pub(crate) fn around(&self, now: Ms) -> Around {
+    pub(crate) fn context(&self, now: Ms) -> Context {
         let view = self.view.as_ref();
-        Around {
+        Context {
             now,
             hosts: self.hosts,
             domains: view.map_or(1, |v| v.domains),
@@ -135,10 +135,10 @@
                 // The first configuration finds targets that serve already; a later one brings
                 // new ones.
                 if !first {
-                    self.sign(now, *at, Sign::Fresh);
+                    self.signal(now, *at, HealthSignal::Fresh);
                 }
                 if self.leaving.contains(&planned.name) {
-                    self.sign(now, *at, Sign::Leaving);
+                    self.signal(now, *at, HealthSignal::Leaving);
                 }
             }
             let target = &mut self.targets[*at as usize];
@@ -150,8 +150,8 @@
             target.lines.clear();
         }
         self.learned.resize_with(self.names.kinds.len(), Learned::default);
-        self.lines.resize_with(view::lines(self.names.kinds.len()), Line::default);
-        self.lines.iter_mut().for_each(|l| l.renew());
+        self.lines.resize_with(view::lines(self.names.kinds.len()), WaitQueue::default);
+        self.lines.iter_mut().for_each(|l| l.invalidate());
         for stage in view.stages.iter().flatten() {
             for &placement in &view.placements {
                 let line = view::line(stage.kind, placement);
@@ -168,16 +168,16 @@
         self.view = Some(Arc::new(view));
     }
 
-    pub(crate) fn sign(&mut self, now: Ms, target: u32, sign: Sign) {
-        let around = self.around(now);
-        self.targets[target as usize].sign(sign, &around);
+    pub(crate) fn signal(&mut self, now: Ms, target: u32, signal: HealthSignal) {
+        let context = self.context(now);
+        self.targets[target as usize].signal(signal, &context);
     }
 
     fn leaving(&mut self, now: Ms, target: TargetId, leaving: bool) {
         if let Some(at) = self.names.targets.find(&target) {
-            self.sign(now, at, if leaving { Sign::Leaving } else { Sign::Back });
+            self.signal(now, at, if leaving { HealthSignal::Leaving } else { HealthSignal::Back });
             for &line in &self.targets[at as usize].lines {
-                self.lines[line as usize].renew();
+                self.lines[line as usize].invalidate();
             }
         }
         match leaving {
--- a/crates/policy/src/target.rs
+++ b/crates/policy/src/target.rs
@@ -2,7 +2,7 @@
 
 use base::{Ms, TargetId};
 
-use crate::health::{self, Gate, Phase, Sign, When};
+use crate::health::{self, Gate, HealthSignal, Phase, When};
 use crate::limit::Limit;
 use crate::{Decision, decision::Without};
 
@@ -45,7 +45,7 @@
 
 /// What all targets are judged by.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct Around {
+pub(crate) struct Context {
     pub(crate) now: Ms,
     /// Live hosts of the failure domain.
     pub(crate) hosts: u32,
@@ -56,7 +56,7 @@
     pub(crate) without: Without,
 }
 
-impl Around {
+impl Context {
     pub(crate) fn when(&self) -> When {
         When { now: self.now, span: self.span }
     }
@@ -94,11 +94,11 @@
 impl Target {
     /// The one gate: new work of any kind, be it first, retry, hedge, resume or probe, goes to a
     /// target only through here, so that one that is leaving can't get any by a side way.
-    pub(crate) fn gate(&self, around: &Around) -> Gate {
-        let gate = self.life.state().gate(around.when());
+    pub(crate) fn gate(&self, context: &Context) -> Gate {
+        let gate = self.life.state().gate(context.when());
         match gate {
             _ if !self.declared => Gate::Shut,
-            Gate::Share(_) if around.without.has(Decision::Ramp) => Gate::Share(1.0),
+            Gate::Share(_) if context.without.has(Decision::Ramp) => Gate::Share(1.0),
             gate => gate,
         }
     }
@@ -123,33 +123,33 @@
     }
 
     /// Calls of this host that it may run at once.
-    pub(crate) fn calls(&self, around: &Around) -> u32 {
-        match self.gate(around) {
+    pub(crate) fn calls(&self, context: &Context) -> u32 {
+        match self.gate(context) {
             Gate::Shut => 0,
             Gate::Probe => 1,
-            Gate::Share(_) if around.without.has(Decision::Limit) => u32::MAX,
-            Gate::Share(share) => self.limit.calls(self.part(around) * share) as u32,
+            Gate::Share(_) if context.without.has(Decision::Limit) => u32::MAX,
+            Gate::Share(share) => self.limit.calls(self.part(context) * share) as u32,
         }
     }
 
     /// Whether it may get one more call.
-    pub(crate) fn room(&self, around: &Around) -> bool {
-        self.running < self.calls(around)
+    pub(crate) fn room(&self, context: &Context) -> bool {
+        self.running < self.calls(context)
     }
 
     /// Slots that this host may use.
-    fn part(&self, around: &Around) -> f64 {
+    fn part(&self, context: &Context) -> f64 {
         let slots = f64::from(self.slots);
-        let hosts = f64::from(around.hosts.max(1));
-        let domains = f64::from(around.domains.max(1));
+        let hosts = f64::from(context.hosts.max(1));
+        let domains = f64::from(context.domains.max(1));
         let away = self.tier != Tier::Domain;
         let part = match () {
-            () if self.report.fresh(around.now) => {
+            () if self.report.fresh(context.now) => {
                 let sharers = if away { hosts * domains } else { hosts };
                 let lent = self.report.own + self.report.free * slots / sharers;
                 if away { lent } else { lent.max(slots / hosts) }
             }
-            () if away && self.zone_report.fresh(around.now) => {
+            () if away && self.zone_report.fresh(context.now) => {
                 self.zone_report.own + self.zone_report.free * slots / (hosts * domains)
             }
             () if away => slots / hosts * AWAY,
@@ -183,8 +183,8 @@
         self.report = Report { others: (total - own).max(0.0), own, free, at };
     }
 
-    /// Takes a sign of its health.
-    pub(crate) fn sign(&mut self, sign: Sign, around: &Around) {
-        self.life.handle_with_context(&sign, &mut around.when());
+    /// Takes a signal of its health.
+    pub(crate) fn signal(&mut self, signal: HealthSignal, context: &Context) {
+        self.life.handle_with_context(&signal, &mut context.when());
     }
 }
--- a/crates/policy/src/line.rs
+++ b/crates/policy/src/wait_queue.rs
@@ -7,50 +7,50 @@
 use crate::fair::Fair;
 use crate::health::Gate;
 use crate::route::Tiers;
-use crate::target::{Around, Target};
+use crate::target::{Context, Target};
 
-/// Time for which a look at the targets holds.
-const KEPT: Ms = Ms(100);
+/// Age from which a measured capacity is taken again, ms.
+const CAPACITY_TTL: Ms = Ms(100);
 
-/// The line of one kind of stage and placement.
+/// Requests of one kind of stage and placement that wait for its targets.
 #[derive(Debug, Default)]
-pub(crate) struct Line {
+pub(crate) struct WaitQueue {
     pub(crate) fair: Fair,
     pub(crate) tiers: Arc<Tiers>,
-    /// Calls of this line that run.
+    /// Calls of this queue that run.
     pub(crate) running: u32,
     /// When a request may be let in against the prediction.
     pub(crate) probe: Ms,
-    room: Room,
-    seen: Ms,
+    capacity: Capacity,
+    measured: Ms,
 }
 
-/// What the targets of a line can do for this host.
+/// Calls that the targets of a wait queue can take from this host at once.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub(crate) struct Room {
+pub(crate) struct Capacity {
     /// Calls at once, nearby.
     pub(crate) near: f64,
     /// Calls at once, in other regions.
     pub(crate) far: f64,
     /// Whether any target may come to serve it, though perhaps not now.
-    pub(crate) hope: bool,
+    pub(crate) possible: bool,
 }
 
-impl Line {
-    /// Forgets what was seen of the targets.
-    pub(crate) fn renew(&mut self) {
-        self.seen = Ms::ZERO;
+impl WaitQueue {
+    /// Drops the cached capacity.
+    pub(crate) fn invalidate(&mut self) {
+        self.measured = Ms::ZERO;
     }
 
-    /// The room seen lately, unless it is too long ago.
-    pub(crate) fn seen(&self, now: Ms) -> Option<Room> {
-        (self.seen > Ms::ZERO && now < self.seen + KEPT).then_some(self.room)
+    /// Cached capacity; `None` once it is older than [`CAPACITY_TTL`].
+    pub(crate) fn capacity(&self, now: Ms) -> Option<Capacity> {
+        (self.measured > Ms::ZERO && now < self.measured + CAPACITY_TTL).then_some(self.capacity)
     }
 
-    /// Notes the room seen.
-    pub(crate) fn see(&mut self, now: Ms, room: Room) {
-        self.seen = now;
-        self.room = room;
+    /// Caches a measured capacity.
+    pub(crate) fn record(&mut self, now: Ms, capacity: Capacity) {
+        self.measured = now;
+        self.capacity = capacity;
     }
 
     /// Calls that run or wait.
@@ -59,9 +59,14 @@
     }
 }
 
-/// Looks at the targets of a line. One that several lines use counts for each as much as its calls
+/// Measures the capacity of a queue's targets. One that several queues use counts for each as much as its calls
 /// against those of the others that run: who waits in another line may be less urgent.
-pub(crate) fn look(lines: &[Line], targets: &[Target], around: &Around, line: u32) -> Room {
+pub(crate) fn measure(
+    lines: &[WaitQueue],
+    targets: &[Target],
+    context: &Context,
+    line: u32,
+) -> Capacity {
     let placement = match line % 3 {
         0 => Placement::Domain,
         1 => Placement::Region,
@@ -69,19 +74,19 @@
     };
     let own = &lines[line as usize];
     let [domain, region, far] = &*own.tiers;
-    let mut room = Room::default();
+    let mut capacity = Capacity::default();
     let mut add = |tier: &[u32], near: bool| {
         for &t in tier {
             let target = &targets[t as usize];
             let all = target.lines.iter().map(|&l| f64::from(lines[l as usize].running));
             let others = all.sum::<f64>() - f64::from(own.running);
             let part = (own.load() + 1.0) / (own.load() + others + 1.0);
-            let calls = f64::from(target.calls(around).min(target.slots)) * part.min(1.0);
+            let calls = f64::from(target.calls(context).min(target.slots)) * part.min(1.0);
             match near {
-                true => room.near += calls,
-                false => room.far += calls,
+                true => capacity.near += calls,
+                false => capacity.far += calls,
             }
-            room.hope |= target.gate(around) != Gate::Shut || target.may_return();
+            capacity.possible |= target.gate(context) != Gate::Shut || target.may_return();
         }
     };
     add(domain, true);
@@ -91,5 +96,5 @@
     if placement >= Placement::Anywhere {
         add(far, false);
     }
-    room
+    capacity
 }
