--- a/crates/sched/src/batch/late.rs
+++ b/crates/sched/src/batch/late.rs
@@ -24,13 +24,13 @@
 
 /// How fast late pieces get into calls while some wait.
 #[derive(Debug, Default)]
-pub(super) struct LateLine {
+pub(super) struct LateQueue {
     /// Since when some have waited at each moment.
     since: Option<Ms>,
     taken: VecDeque<(Ms, usize)>,
 }
 
-impl LateLine {
+impl LateQueue {
     /// So many late pieces went into a call.
     pub(super) fn record(&mut self, now: Ms, pieces: usize) {
         self.taken.push_back((now, pieces));
@@ -40,10 +40,10 @@
     pub(super) fn hopeless<K>(
         &mut self,
         now: Ms,
-        line: impl IntoIterator<Item = Late<K>>,
+        waiting: impl IntoIterator<Item = Late<K>>,
     ) -> Vec<K> {
-        let mut line = line.into_iter().peekable();
-        if line.peek().is_none() {
+        let mut waiting = waiting.into_iter().peekable();
+        if waiting.peek().is_none() {
             self.since = None;
             self.taken.clear();
             return Vec::new();
@@ -60,7 +60,7 @@
         let rate = taken as f64 / span.0 as f64;
         let mut ahead = 0;
         let mut out = Vec::new();
-        for late in line {
+        for late in waiting {
             match (ahead + late.pieces) as f64 <= rate * (late.expires - now).0 as f64 {
                 true => ahead += late.pieces,
                 false => out.push(late.key),
--- a/crates/sched/src/batch/mod.rs
+++ b/crates/sched/src/batch/mod.rs
@@ -34,7 +34,7 @@
 use std::collections::{BTreeMap, HashMap, HashSet};
 
 use crate::budget::{Allowance, Budget};
-use late::{Late, LateLine};
+use late::{Late, LateQueue};
 use target::Target;
 
 /// Sends of one piece at most: the first, and two more when targets crash under it.
@@ -62,7 +62,7 @@
     next: u64,
     /// Pieces in a call while more wait, learned: room and whole requests leave places empty.
     fill: f64,
-    late: LateLine,
+    late: LateQueue,
 }
 
 impl Batcher {
@@ -77,7 +77,7 @@
             pieces: HashMap::new(),
             calls: HashMap::new(),
             next: 0,
-            late: LateLine::default(),
+            late: LateQueue::default(),
         }
     }
 
@@ -143,12 +143,12 @@
 
     /// Ends late pieces that won't get into a call while they are of use.
     fn give_up_late(&mut self, now: Ms, out: &mut Vec<Effect>) {
-        let mut line: BTreeMap<_, Late<Vec<PieceId>>> = BTreeMap::new();
+        let mut waiting: BTreeMap<_, Late<Vec<PieceId>>> = BTreeMap::new();
         let waits = |w: &Waiting| w.queued && w.sends == 0 && self.is_late(now, &w.piece);
-        for (id, waiting) in self.pieces.iter().filter(|(_, w)| waits(w)) {
-            let piece = &waiting.piece;
-            let place = (piece.rank, waiting.since, piece.request.clone(), piece.stage);
-            let late = line.entry(place).or_insert(Late {
+        for (id, w) in self.pieces.iter().filter(|(_, w)| waits(w)) {
+            let piece = &w.piece;
+            let place = (piece.rank, w.since, piece.request.clone(), piece.stage);
+            let late = waiting.entry(place).or_insert(Late {
                 key: Vec::new(),
                 pieces: 0,
                 expires: piece.expires,
@@ -156,7 +156,7 @@
             late.pieces += 1;
             late.key.push(*id);
         }
-        let hopeless = self.late.hopeless(now, line.into_values());
+        let hopeless = self.late.hopeless(now, waiting.into_values());
         hopeless.into_iter().flatten().for_each(|id| self.finish(id, PieceEnd::Late, out));
     }
 
