--- a/crates/edge/src/members.rs
+++ b/crates/edge/src/members.rs
@@ -83,7 +83,7 @@
     /// The host that composes the calls of a service in a region; none where no host is alive.
     ///
     /// All hosts that see the same others name the same one. Those that don't lose fullness of
-    /// calls and nothing else.
+    /// calls, and at times inputs that are made again.
     pub(crate) fn owner(
         &self,
         settings: &Settings,
--- a/crates/sched/src/batch/mod.rs
+++ b/crates/sched/src/batch/mod.rs
@@ -18,7 +18,7 @@
 //! Without 2 before 3, order by due time alone serves each request just too late under overload.
 //!
 //! Pieces may be made again, so nothing rests on two hosts agreeing who composes: they lose
-//! fullness, not results.
+//! fullness, and at times inputs that are made again.
 
 mod late;
 mod order;
