Results that stages read lie on while their target has room

Cause: one piece in five hundred fails at its target and is made again in a later call. Ruled out: targets that read late (the call was first in line in half of these cases).

Change: what stages have read is spare. Its composer gives it up when the next call would not find room beside it, the largest first; how much of the declared room can be counted on is learned from calls that found none.

--- a/crates/edge/src/composer/frees.rs
+++ b/crates/edge/src/composer/frees.rs
@@ -20,11 +20,17 @@
 pub(super) const READ_TIME: Ms = Ms(80);
 
 impl Composer {
-    /// Results are given up.
+    /// Results are given up, or were read.
     pub(crate) fn free(self: &Arc<Self>, free: StageFree) {
         let Some(service) = self.service(&PoolId::from(free.service.as_str())) else { return };
         let made = free.results.into_iter().filter(|r| !r.handle.is_empty());
-        self.free_results(&service, made.map(|r| (r.target.into(), r.handle)).collect());
+        let made = made.map(|r| (r.target.into(), r.handle));
+        match free.spare {
+            true => made.for_each(|(target, handle)| {
+                self.feed(&service, Event::Read(target, handle));
+            }),
+            false => self.free_results(&service, made.collect()),
+        }
     }
 
     pub(super) fn free_results(
@@ -76,12 +82,18 @@
         }
     }
 
-    /// Gives results up that have been read by then.
+    /// Tells who composed them that results have been read, after `wait`.
     ///
-    /// A target reads the inputs of a call when its turn comes. Kept until the call ends, they lie
-    /// at their own targets for as long again, and calls there shrink to the room that is left:
-    /// the stage before loses a third of what it can do. When the call fails after that, what it
-    /// read is made again.
+    /// A target reads the inputs of a call when its turn comes. Held until the call ends, they lie
+    /// at their own targets for as long again, and where room is short calls there shrink to what
+    /// is left of it: the stage before loses a third of what it can do. Where it is not, a piece
+    /// that fails finds its inputs when it is made again.
+    pub(super) fn spare(self: &Arc<Self>, wait: Ms, mut read: Vec<StageRelease>) {
+        read.iter_mut().filter_map(|r| r.free.as_mut()).for_each(|free| free.spare = true);
+        self.release(wait, read);
+    }
+
+    /// Gives results up after `wait`.
     pub(super) fn release(self: &Arc<Self>, wait: Ms, release: Vec<StageRelease>) {
         if release.is_empty() {
             return;
--- a/crates/edge/src/composer/mod.rs
+++ b/crates/edge/src/composer/mod.rs
@@ -85,6 +85,7 @@
             left: count,
             unread: vec![true; count],
             release: work.release.clone(),
+            read: false,
             results: vec![PieceResult::default(); count],
             done: Some(done),
         }));
@@ -106,7 +107,6 @@
             let wait = lock(&service.state).batcher.wait(self.core.clock.now());
             results.wait_ms = wait.unwrap_or_default().0;
         }
-        // What was never read, since the stage failed, is given up all the same.
         let release = std::mem::take(&mut lock(&withdraw.submission).release);
         self.release(Ms::ZERO, release);
         withdraw.close();
@@ -201,7 +201,7 @@
                 Effect::Free { target, handle } => unread.push((target, handle)),
                 Effect::Call { call, target, pieces, ids, timeout } => {
                     let read = ids.iter().flat_map(|id| begun(&mut state, id)).collect();
-                    self.release(READ_TIME, read);
+                    self.spare(READ_TIME, read);
                     self.core.metrics.call(service.name.as_str(), pieces.len());
                     let (composer, service) = (self.clone(), service.clone());
                     tokio::spawn(async move {
--- a/crates/edge/src/composer/submission.rs
+++ b/crates/edge/src/composer/submission.rs
@@ -15,6 +15,8 @@
     pub(super) unread: Vec<bool>,
     /// What they read and nobody else does.
     pub(super) release: Vec<StageRelease>,
+    /// Whether all pieces have read it.
+    pub(super) read: bool,
     pub(super) results: Vec<PieceResult>,
     pub(super) done: Option<oneshot::Sender<StageResults>>,
 }
@@ -76,15 +78,18 @@
     (0..work.pieces).map(piece).collect()
 }
 
-/// Notes that a piece is in a call. Gives what all pieces of its stage have read then.
+/// Notes that a piece is in a call. Gives what all pieces of its stage have read then, once.
 pub(super) fn begun(state: &mut State, piece: &PieceId) -> Vec<StageRelease> {
     let Some((submission, i)) = state.waiting.get(piece) else { return Vec::new() };
     let mut submission = lock(submission);
     // A piece may be in a second call before another is in its first.
     submission.unread[*i] = false;
-    match submission.unread.contains(&true) {
-        false => std::mem::take(&mut submission.release),
+    match submission.read || submission.unread.contains(&true) {
         true => Vec::new(),
+        false => {
+            submission.read = true;
+            submission.release.clone()
+        }
     }
 }
 
--- a/crates/edge/src/results.rs
+++ b/crates/edge/src/results.rs
@@ -115,7 +115,7 @@
 /// Gives up one stage's results.
 pub(crate) fn free(app: &Arc<App>, output: StageOutput) {
     let StageOutput { service, owner, results } = output;
-    let free = StageFree { service: service.as_str().to_owned(), results };
+    let free = StageFree { service: service.as_str().to_owned(), results, spare: false };
     match owner {
         Owner::Me => app.composer.free(free),
         Owner::Peer { addr, .. } => {
@@ -140,6 +140,6 @@
         Owner::Me => core.settings().peer,
         Owner::Peer { addr, .. } => addr,
     };
-    let free = StageFree { service: service.as_str().to_owned(), results };
+    let free = StageFree { service: service.as_str().to_owned(), results, spare: false };
     StageRelease { owner: addr.to_string(), free: Some(free) }
 }
--- a/crates/sched/src/batch/mod.rs
+++ b/crates/sched/src/batch/mod.rs
@@ -22,6 +22,7 @@
 
 mod late;
 mod order;
+mod room;
 mod target;
 mod types;
 
@@ -40,8 +41,8 @@
 /// Sends of one piece at most: the first, and two more when targets crash under it.
 const SENDS: u32 = 3;
 
-/// Weight of a new call in the learned fill: a few calls, about a second.
-const FILL_WEIGHT: f64 = 0.2;
+/// Weight of a new call in what is learned of calls: a few of them, about a second.
+const CALL_WEIGHT: f64 = 0.2;
 
 struct Waiting {
     piece: Piece,
@@ -62,6 +63,8 @@
     next: u64,
     /// Pieces in a call while more wait, learned: room and whole requests leave places empty.
     fill: f64,
+    /// Bytes of a call's results, learned; none before the first call.
+    bytes: Option<f64>,
     late: LateQueue,
 }
 
@@ -77,6 +80,7 @@
             pieces: HashMap::new(),
             calls: HashMap::new(),
             next: 0,
+            bytes: None,
             late: LateQueue::default(),
         }
     }
@@ -91,7 +95,12 @@
             Event::Shape(shape) => self.shape = shape,
             Event::Freed(target, handle) => {
                 if let Some(target) = self.targets.get_mut(&target) {
-                    target.freed(&handle);
+                    target.room.freed(&handle);
+                }
+            }
+            Event::Read(target, handle) => {
+                if let Some(target) = self.targets.get_mut(&target) {
+                    target.room.read(&handle);
                 }
             }
             Event::Hosts(live) => self.budget.hosts(live),
@@ -101,6 +110,7 @@
         self.expire(now, out);
         self.fill(now, out);
         self.give_up_late(now, out);
+        self.reclaim(now, out);
     }
 
     /// When a tick is needed; none while nothing waits.
@@ -160,6 +170,18 @@
         hopeless.into_iter().flatten().for_each(|id| self.finish(id, PieceEnd::Late, out));
     }
 
+    /// Gives up results that were read where the next call would not find room beside them.
+    fn reclaim(&mut self, now: Ms, out: &mut Vec<Effect>) {
+        let waiting = self.pieces.values().filter(|w| w.queued).take(self.shape.size);
+        let waiting: u64 = waiting.map(|w| w.piece.bytes).sum();
+        let next = waiting.max(self.bytes.unwrap_or_default() as u64);
+        for (id, target) in &mut self.targets {
+            let freed = target.reclaim(now, self.shape.room, next);
+            let free = |handle| Effect::Free { target: id.clone(), handle };
+            out.extend(freed.into_iter().map(free));
+        }
+    }
+
     /// Bytes of results at a target, those of calls under way included.
     pub fn kept(&self, now: Ms, target: &TargetId) -> u64 {
         self.targets.get(target).map_or(0, |t| t.kept(now))
@@ -206,7 +228,8 @@
     fn ended(&mut self, now: Ms, call: CallId, end: CallEnd, out: &mut Vec<Effect>) {
         let Some((id, pieces)) = self.calls.remove(&call) else { return };
         if let Some(target) = self.targets.get_mut(&id) {
-            target.ended(now, call, &end, self.shape.keep);
+            target.learn_room(now, &end, self.shape.room);
+            target.ended(now, call, &end);
         }
         self.take_end(now, &id, pieces, end, out);
         if let Some(target) = self.targets.get_mut(&id) {
@@ -261,7 +284,7 @@
             return;
         };
         if let Some(target) = self.targets.get_mut(target) {
-            target.keeps(handle.clone(), waiting.piece.bytes, now + self.shape.keep);
+            target.room.keep(now, handle.clone(), waiting.piece.bytes, now + self.shape.keep);
         }
         let target = Some(target.clone());
         out.push(Effect::End { piece, end: PieceEnd::Made(handle), target });
@@ -375,7 +398,7 @@
         self.late.record(now, late);
         let Some(target) = self.targets.get_mut(&id) else { return };
         if left > 0 {
-            self.fill += FILL_WEIGHT * (ids.len() as f64 - self.fill);
+            self.fill += CALL_WEIGHT * (ids.len() as f64 - self.fill);
         }
         self.next += 1;
         let call = CallId(self.next);
@@ -387,7 +410,9 @@
             waiting.sends += 1;
             pieces.push(waiting.piece.clone());
         }
-        let bytes = pieces.iter().map(|p: &Piece| p.bytes).sum();
+        let bytes: u64 = pieces.iter().map(|p: &Piece| p.bytes).sum();
+        let known = self.bytes.get_or_insert(bytes as f64);
+        *known += CALL_WEIGHT * (bytes as f64 - *known);
         let timeout = target.begin(now, call, time, bytes);
         self.calls.insert(call, (id.clone(), ids.clone()));
         out.push(Effect::Call { call, target: id, pieces, ids, timeout });
--- a/crates/sched/src/batch/target.rs
+++ b/crates/sched/src/batch/target.rs
@@ -1,8 +1,8 @@
 //! One stage target as its composer sees it.
 
 use base::Ms;
-use std::collections::HashMap;
 
+use super::room::Room;
 use super::{CallEnd, CallId, PieceEnd};
 
 /// A call is overdue at this multiple of its expected time, plus [`OVERDUE_SLACK`]: pieces of one
@@ -58,8 +58,7 @@
     others: u64,
     failures: u32,
     last: Ms,
-    kept: HashMap<String, (Ms, u64)>,
-    keep: Ms,
+    pub(super) room: Room,
 }
 
 impl Target {
@@ -74,8 +73,7 @@
             others: 0,
             failures: 0,
             last: Ms::ZERO,
-            kept: HashMap::new(),
-            keep: Ms::ZERO,
+            room: Room::default(),
         }
     }
 
@@ -127,8 +125,7 @@
         ahead + time.scale(GIVE_UP.0, GIVE_UP.1)
     }
 
-    pub(super) fn ended(&mut self, now: Ms, call: CallId, end: &CallEnd, keep: Ms) {
-        self.keep = keep;
+    pub(super) fn ended(&mut self, now: Ms, call: CallId, end: &CallEnd) {
         let open = self.open.iter().position(|o| o.call == call).map(|i| self.open.remove(i));
         match end {
             CallEnd::Done(ends) => {
@@ -176,7 +173,7 @@
     pub(super) fn wakes(&self, now: Ms) -> Vec<Ms> {
         let mut out = vec![self.pause];
         out.extend(self.foreign.map(|at| at + FOREIGN));
-        out.extend(self.kept.values().map(|(until, _)| *until).min());
+        out.extend(self.room.lapse());
         for open in &self.open {
             out.push(open.expected - LEAD);
             if !open.hedged {
@@ -187,14 +184,12 @@
         out
     }
 
-    /// A result lies there.
-    pub(super) fn keeps(&mut self, handle: String, bytes: u64, until: Ms) {
-        self.kept.retain(|_, (end, _)| *end > until - self.keep);
-        self.kept.insert(handle, (until, bytes));
-    }
-
-    pub(super) fn freed(&mut self, handle: &str) {
-        self.kept.remove(handle);
+    /// Learns from a call's end how far the declared room can be counted on.
+    pub(super) fn learn_room(&mut self, now: Ms, end: &CallEnd, room: u64) {
+        let CallEnd::Done(ends) = end else { return };
+        let found = !ends.contains(&PieceEnd::Room);
+        let taken = self.kept(now);
+        self.room.learn(found, taken, room);
     }
 
     /// Learns from a call that found no room that all but what is known is others'.
@@ -207,11 +202,21 @@
 
     /// Bytes of results there, those of calls under way included.
     pub(super) fn kept(&self, now: Ms) -> u64 {
-        let made = self.kept.values().filter(|(until, _)| *until > now).map(|(_, bytes)| bytes);
+        self.room.taken(now) + self.claimed(now)
+    }
+
+    /// Bytes that calls under way will take, and others' results.
+    fn claimed(&self, now: Ms) -> u64 {
         let others = match self.foreign {
             Some(at) if now - at < FOREIGN => self.others,
             _ => 0,
         };
-        made.sum::<u64>() + self.open.iter().map(|o| o.bytes).sum::<u64>() + others
+        self.open.iter().map(|o| o.bytes).sum::<u64>() + others
+    }
+
+    /// Results that were read and must go, for a call of `next` bytes to find room.
+    pub(super) fn reclaim(&mut self, now: Ms, room: u64, next: u64) -> Vec<String> {
+        let calls = self.claimed(now) + next;
+        self.room.reclaim(now, room, calls)
     }
 }
--- a/crates/sched/src/batch/types.rs
+++ b/crates/sched/src/batch/types.rs
@@ -96,6 +96,8 @@
     Targets(Vec<Place>),
     /// The service is declared so from now on.
     Shape(Batch),
+    /// A result was read. It may be read once more, and lies on while there is room.
+    Read(TargetId, String),
     /// A result was given up; its room is free.
     Freed(TargetId, String),
     /// So many hosts are alive.
@@ -120,7 +122,7 @@
         /// When to give it up, ms from now.
         timeout: Ms,
     },
-    /// A result that nobody reads is given up.
+    /// A result is given up: nobody reads it, or it was read and its room is needed.
     Free {
         /// Where it lies.
         target: TargetId,
--- /dev/null
+++ b/crates/sched/tests/common/mod.rs
@@ -0,0 +1,112 @@
+//! A batcher under test, with its clock and what it asked for.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use base::{Ms, PoolId, TargetId};
+use catalog::Batch;
+use sched::batch::{
+    Batcher, CallEnd, CallId, Effect, Event, Piece, PieceEnd, PieceId, Place, Source,
+};
+use sched::budget::Allowance;
+use std::sync::Arc;
+
+pub const KB: u64 = 1_000;
+
+/// One place, eight pieces a call of 240 ms and 10 ms a piece, and room for 100 small results.
+pub fn shape() -> Batch {
+    let (call_ms, item_ms) = (240.0, 10.0);
+    Batch { slots: 1, size: 8, call_ms, item_ms, room: 100 * KB, keep: Ms(4_000) }
+}
+
+fn allowance() -> Allowance {
+    Allowance { ratio: 0.2, slack: 50.0, window: Ms(10_000) }
+}
+
+/// A batcher with its clock and the calls that it made.
+pub struct Bench {
+    pub batcher: Batcher,
+    pub now: Ms,
+    next: u64,
+    pub calls: Vec<(CallId, TargetId, Vec<Piece>)>,
+    pub ends: Vec<(PieceId, PieceEnd)>,
+    pub freed: Vec<String>,
+}
+
+impl Bench {
+    pub fn new(shape: Batch, targets: &[&str]) -> Self {
+        let batcher = Batcher::new(PoolId::from("rerank"), shape, allowance());
+        let mut bench = Self {
+            batcher,
+            now: Ms(1_000_000),
+            next: 0,
+            calls: Vec::new(),
+            ends: Vec::new(),
+            freed: Vec::new(),
+        };
+        bench.targets(targets);
+        bench
+    }
+
+    pub fn targets(&mut self, names: &[&str]) {
+        let place = |name: &&str| Place { id: TargetId::from(*name), born: 1 };
+        self.feed(Event::Targets(names.iter().map(place).collect()));
+    }
+
+    pub fn feed(&mut self, event: Event) {
+        let mut out = Vec::new();
+        self.batcher.reduce(self.now, event, &mut out);
+        for effect in out {
+            match effect {
+                Effect::Call { call, target, pieces, .. } => {
+                    self.calls.push((call, target, pieces));
+                }
+                Effect::End { piece, end, .. } => self.ends.push((piece, end)),
+                Effect::Free { handle, .. } => self.freed.push(handle),
+            }
+        }
+    }
+
+    /// Hands in a stage of a request; due and expiry count from now.
+    pub fn submit(
+        &mut self,
+        request: &str,
+        pieces: u32,
+        with: impl Fn(&mut Piece),
+    ) -> Vec<PieceId> {
+        let request: Arc<str> = request.into();
+        let mut submitted = Vec::new();
+        for index in 0..pieces {
+            let mut piece = Piece {
+                request: request.clone(),
+                stage: 0,
+                index,
+                source: Source::Key("k".into()),
+                due: self.now + Ms(2_000),
+                expires: self.now + Ms(10_000),
+                rank: 1,
+                bytes: KB,
+            };
+            with(&mut piece);
+            self.next += 1;
+            submitted.push((PieceId(self.next), piece));
+        }
+        let ids = submitted.iter().map(|(id, _)| *id).collect();
+        self.feed(Event::Submit(submitted));
+        ids
+    }
+
+    /// The last call ends after `took`, with all its pieces made.
+    pub fn finish(&mut self, call: usize, took: Ms) {
+        let (id, target, pieces) = self.calls[call].clone();
+        self.now += took;
+        let made = |p: &Piece| PieceEnd::Made(format!("{target}/{}-{}", p.request, p.index));
+        let ends = pieces.iter().map(made).collect();
+        self.feed(Event::Ended(id, CallEnd::Done(ends)));
+    }
+
+    pub fn requests(&self, call: usize) -> Vec<&str> {
+        let mut names: Vec<&str> = self.calls[call].2.iter().map(|p| &*p.request).collect();
+        names.dedup();
+        names
+    }
+}
--- a/crates/wire/src/gen/siskinwheel.v1.rs
+++ b/crates/wire/src/gen/siskinwheel.v1.rs
@@ -771,7 +771,7 @@
     #[prost(message, repeated, tag = "1")]
     pub loads: ::prost::alloc::vec::Vec<StageLoad>,
 }
-/// Results that are given up.
+/// Results that are given up, or that were read.
 #[derive(serde::Serialize, serde::Deserialize)]
 #[serde(default)]
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -780,6 +780,9 @@
     pub service: ::prost::alloc::string::String,
     #[prost(message, repeated, tag = "2")]
     pub results: ::prost::alloc::vec::Vec<PieceResult>,
+    /// Whether they were read and may be read once more: they lie on while there is room for them.
+    #[prost(bool, tag = "3")]
+    pub spare: bool,
 }
 /// A target broke its connection while it owed the answer to a request.
 #[derive(serde::Serialize, serde::Deserialize)]
