Hosts tell each other which engines have read a subject

Change: one host keeps the list of a subject's readers, by rendezvous hashing over all live hosts. It is asked while the stages are made, for prompts whose shared part takes longer to read than to ask for, and told with the first event: two messages a prompt at any size of the fleet. An engine copies from the nearest reader. Lost, the list costs one more reading.

--- a/crates/edge/src/choose.rs
+++ b/crates/edge/src/choose.rs
@@ -9,7 +9,7 @@
 
 /// What kind of choice.
 #[derive(Clone, Copy, Debug)]
-pub(crate) enum Want {
+pub(crate) enum Want<'a> {
     /// A target for a plain request; `risky` when a failed send can't be made up for.
     Plain {
         /// See above.
@@ -21,6 +21,8 @@
         subject: u64,
         /// Time to copy its memory from another engine, ms.
         copy: Ms,
+        /// Lives of engines that have read it, the newest first.
+        readers: &'a [String],
     },
 }
 
@@ -28,7 +30,7 @@
 pub(crate) fn choose(
     core: &Core,
     service: &PoolId,
-    want: Want,
+    want: Want<'_>,
     tried: &[Arc<Link>],
 ) -> Option<Arc<Link>> {
     let now = core.clock.now();
@@ -39,36 +41,43 @@
         open.iter().map(|l| candidate(core, now, l, want)).collect();
     let chosen = match want {
         Want::Plain { risky } => place::plain(&candidates, risky),
-        Want::Engine { subject, copy } => place::engine(&candidates, subject, copy),
+        Want::Engine { subject, copy, .. } => place::engine(&candidates, subject, copy),
     };
     chosen.map(|i| open[i].clone())
 }
 
 /// Another engine that knows a subject, for `link` to copy its memory from: the nearest that has
-/// read it for this host, else the one of the whole fleet that keeps it, which all hosts name.
+/// read it, else the one of the whole fleet that all hosts name for it.
 pub(crate) fn source(
     core: &Core,
     service: &PoolId,
     subject: u64,
+    readers: &[String],
     link: &Link,
 ) -> Option<Arc<Link>> {
+    if knows(link, subject, readers) {
+        return None;
+    }
     let links = core.links();
     let now = core.clock.now();
-    let other = |l: &&Arc<Link>| l.entry.id != link.entry.id && l.health().usable(now);
-    let knows = links.of(service).iter().filter(other).filter(|l| l.subjects().knows(subject));
-    let near = knows.min_by_key(|l| (core.distance(&l.entry.domain), l.load(now)));
-    if let Some(near) = near.filter(|_| !link.subjects().knows(subject)) {
-        return Some(near.clone());
-    }
-    let usable = links.of(service).iter().filter(|l| l.health().usable(now));
-    let home = base::rendezvous(&subject.to_le_bytes(), usable, |l| l.name())?;
-    (home.entry.id != link.entry.id).then(|| home.clone())
+    let usable: Vec<&Arc<Link>> =
+        links.of(service).iter().filter(|l| l.health().usable(now)).collect();
+    let age = |l: &Link| readers.iter().position(|r| r == l.life().as_str());
+    let known = usable.iter().filter(|l| knows(l, subject, readers));
+    let near = known.min_by_key(|l| (core.distance(&l.entry.domain), age(l)));
+    let named = || base::rendezvous(&subject.to_le_bytes(), usable.iter(), |l| l.name());
+    let found = near.or_else(named).map(|l| Arc::clone(l));
+    found.filter(|l| l.entry.id != link.entry.id)
+}
+
+fn knows(link: &Link, subject: u64, readers: &[String]) -> bool {
+    link.subjects().knows(subject) || readers.iter().any(|r| r == link.life().as_str())
 }
 
-fn candidate<'a>(core: &Core, now: Ms, link: &'a Link, want: Want) -> Candidate<'a> {
+fn candidate<'a>(core: &Core, now: Ms, link: &'a Link, want: Want<'_>) -> Candidate<'a> {
     let knows = match want {
         Want::Plain { .. } => false,
-        Want::Engine { subject, .. } => link.subjects().knows(subject),
+        Want::Engine { subject, readers, .. } => knows(link, subject, readers),
     };
     let health = link.health();
     Candidate {
--- a/crates/edge/src/composer/serve.rs
+++ b/crates/edge/src/composer/serve.rs
@@ -3,7 +3,9 @@
 use async_trait::async_trait;
 use peer::StageServer;
 use std::sync::Arc;
-use wire::{HostNews, StageFree, StageLoads, StageResults, StageWork};
+use wire::{
+    HostNews, StageFree, StageLoads, StageResults, StageWork, SubjectQuery, SubjectReaders,
+};
 
 use super::Composer;
 
@@ -29,5 +31,14 @@
         for crash in news.crashes {
             self.0.core.poison().record(now, crash.fingerprint, &crash.target.into());
         }
+        let mut directory = self.0.core.directory();
+        for read in news.reads {
+            directory.record(&read.service, read.subject, &read.target);
+        }
+    }
+
+    async fn readers(&self, query: SubjectQuery) -> SubjectReaders {
+        let targets = self.0.core.directory().readers(&query.service, query.subject);
+        SubjectReaders { targets }
     }
 }
--- a/crates/edge/src/core.rs
+++ b/crates/edge/src/core.rs
@@ -5,6 +5,7 @@
 use catalog::{Catalog, Freshness, Limits, Proof, Registry, RegistryEvent, Seen};
 use logs::note;
 use sched::budget::{Allowance, Budget};
+use sched::directory::Directory;
 use sched::estimate::Estimate;
 use sched::place::Distance;
 use sched::poison::Poison;
@@ -44,6 +45,7 @@
     budget: Mutex<Budget>,
     poison: Mutex<Poison>,
     estimate: Mutex<Estimate>,
+    directory: Mutex<Directory>,
     sampler: Mutex<Sampler>,
     distrust: Mutex<Distrust>,
     stopping: AtomicBool,
@@ -111,6 +113,7 @@
             known: Mutex::new(known),
             poison: Mutex::default(),
             estimate: Mutex::default(),
+            directory: Mutex::default(),
             sampler: Mutex::default(),
             distrust: Mutex::default(),
             stopping: AtomicBool::new(false),
@@ -157,6 +160,11 @@
         lock(&self.estimate)
     }
 
+    /// Engines by the subjects that they have read, for those that this host keeps the list of.
+    pub(crate) fn directory(&self) -> MutexGuard<'_, Directory> {
+        lock(&self.directory)
+    }
+
     /// Whether a success gets a log line, and for how many it stands. A late one always does, for
     /// none but itself where the sample passes over it: callers complain of it as of a failure.
     pub(crate) fn sample(&self, late: bool) -> Option<u64> {
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -36,6 +36,7 @@
 mod settings;
 mod stages;
 mod stream;
+mod subjects;
 mod submit;
 
 pub use dialect::{AnswerHead, Ask, AskError, Dialect, Load, Onward, PromptPart, StageCall};
--- a/crates/edge/src/members.rs
+++ b/crates/edge/src/members.rs
@@ -90,16 +90,23 @@
         service: &PoolId,
         region: &RegionId,
     ) -> Option<Owner> {
+        let near = |h: &ViewHost| settings.region_of(&h.domain) == Some(region);
+        self.pick(service.as_str().as_bytes(), near)
+    }
+
+    /// The host that keeps the list of engines that have read a subject.
+    pub(crate) fn keeper(&self, subject: u64) -> Option<Owner> {
+        self.pick(&subject.to_le_bytes(), |_| true)
+    }
+
+    /// The host that all name for `key`, among those that are alive and fit.
+    fn pick(&self, key: &[u8], fits: impl Fn(&ViewHost) -> bool) -> Option<Owner> {
         let hosts = self.view.hosts();
         let suspects = self.suspects();
         let now = self.clock.now();
-        let sound = |h: &&ViewHost| {
-            settings.region_of(&h.domain) == Some(region)
-                && suspects.get(&h.host).is_none_or(|until| *until <= now)
-        };
-        let found = rendezvous(service.as_str().as_bytes(), hosts.iter().filter(sound), |h| {
-            h.host.as_str()
-        })?;
+        let sound =
+            |h: &&ViewHost| fits(h) && suspects.get(&h.host).is_none_or(|until| *until <= now);
+        let found = rendezvous(key, hosts.iter().filter(sound), |h| h.host.as_str())?;
         Some(match found.host == self.me {
             true => Owner::Me,
             false => Owner::Peer { host: found.host.clone(), addr: found.address },
@@ -134,7 +141,7 @@
         let hosts = self.view.hosts();
         let others = hosts.iter().filter(|h| h.host != self.me).take(TOLD);
         let calls = others.map(|h| {
-            let news = HostNews { crashes: crashes.clone() };
+            let news = HostNews { crashes: crashes.clone(), reads: Vec::new() };
             async move { (h.host.clone(), self.peers.news(h.address, news).await) }
         });
         for (host, told) in futures::future::join_all(calls).await {
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -20,7 +20,7 @@
 use crate::request::Call;
 use crate::results::Results;
 use crate::send::{Answered, Lease, SendFault, send};
-use crate::stages;
+use crate::{stages, subjects};
 
 /// Engines that are asked at most for one caller's attempt, those that did not run it included.
 const SENDS: usize = 4;
@@ -60,6 +60,8 @@
     core: Arc<Core>,
     call: Call,
     results: Results,
+    /// Lives of engines that have read the prompt's subject, the newest first.
+    readers: Vec<String>,
     redone: bool,
     /// When the stages were done.
     staged: Ms,
@@ -73,7 +75,7 @@
 
 impl Relay {
     /// Nothing sent yet.
-    pub(crate) fn new(app: Arc<App>, call: Call, results: Results) -> Self {
+    pub(crate) fn new(app: Arc<App>, call: Call, results: Results, readers: Vec<String>) -> Self {
         let core = app.core.clone();
         Self {
             staged: core.clock.now(),
@@ -87,6 +89,7 @@
             core,
             call,
             results,
+            readers,
         }
     }
 
@@ -167,7 +170,7 @@
             return Sent::NoTarget;
         }
         let subject = self.call.ask.subject();
-        let want = Want::Engine { subject, copy: self.copy_time() };
+        let want = Want::Engine { subject, copy: self.copy_time(), readers: &self.readers };
         let Some(link) = choose(&self.core, &self.call.service, want, &self.tried) else {
             return Sent::NoTarget;
         };
@@ -183,7 +186,8 @@
         };
         let (core, call) = (&self.core, &self.call);
         let (inputs, last) = (self.results.handles(), self.events.last());
-        let fetch = source(core, &call.service, subject, &link).map(|l| l.entry.addr);
+        let fetch =
+            source(core, &call.service, subject, &self.readers, &link).map(|l| l.entry.addr);
         let build = || {
             self.results.free_soon();
             call.onward(headers(core, call, &link, inputs, last, fetch))
@@ -312,6 +316,7 @@
         open.link.record(now, Outcome::Good(took));
         let ask = &self.call.ask;
         open.link.subjects().record(ask.subject(), ask.shared_tokens(), memory);
+        subjects::tell(&self.core, &self.call, &open.link);
         if open.alone {
             let tokens = self.call.ask.own_tokens();
             self.core.estimate().record_first(&self.call.service, tokens, took);
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -11,11 +11,12 @@
 use crate::refusal::{Reason, give_up};
 use crate::relay::{Relay, Started};
 use crate::request::Call;
-use crate::stages;
+use crate::{stages, subjects};
 
 /// Runs it and gives the caller's answer; the events follow as the answer's body.
 pub(crate) async fn run(app: Arc<App>, call: Call) -> Response<Out> {
     let core = app.core.clone();
+    let readers = subjects::ask(&core, &call);
     let done = tokio::select! {
         done = stages::run(&app, &call) => done,
         // Begun now, its stream would be cut when the host's time is over.
@@ -25,7 +26,7 @@
         Ok(results) => results,
         Err(reason) => return give_up(&core, &call, reason, 0, 0),
     };
-    let mut relay = Relay::new(app, call, results);
+    let mut relay = Relay::new(app, call, results, readers.get().await);
     match relay.start().await {
         Started::Streams(parts) => {
             let headers = core.dialect.back(&parts.headers);
--- a/crates/peer/src/api.rs
+++ b/crates/peer/src/api.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use wire::{
     Claim, Exchange, Finish, Grant, HostNews, StageFree, StageLoads, StageResults, StageWork,
+    SubjectQuery, SubjectReaders,
 };
 
 use crate::PeerError;
@@ -90,6 +91,13 @@
 
     /// Tells what other hosts should know at once.
     async fn news(&self, to: SocketAddr, news: HostNews) -> Result<(), PeerError>;
+
+    /// Asks the host that keeps the list which engines have read a subject.
+    async fn readers(
+        &self,
+        to: SocketAddr,
+        query: SubjectQuery,
+    ) -> Result<SubjectReaders, PeerError>;
 }
 
 /// Composes stage calls for other hosts.
@@ -106,4 +114,7 @@
 
     /// What another host found out.
     async fn news(&self, news: HostNews);
+
+    /// Engines that have read a subject.
+    async fn readers(&self, query: SubjectQuery) -> SubjectReaders;
 }
--- a/crates/peer/src/listener.rs
+++ b/crates/peer/src/listener.rs
@@ -15,6 +15,7 @@
 use tokio::task::{JoinHandle, JoinSet};
 use wire::{
     Claim, Exchange, Finish, Grant, HostNews, StageFree, StageLoads, StageResults, StageWork,
+    SubjectQuery, SubjectReaders,
 };
 
 use crate::Serves;
@@ -47,6 +48,8 @@
     async fn free(free: StageFree);
     /// See [`crate::StageServer::news`].
     async fn news(news: HostNews);
+    /// See [`crate::StageServer::readers`].
+    async fn readers(query: SubjectQuery) -> Option<SubjectReaders>;
 }
 
 #[derive(Clone)]
@@ -110,6 +113,11 @@
             stages.news(news).await;
         }
     }
+
+    async fn readers(self, _: Context, query: SubjectQuery) -> Option<SubjectReaders> {
+        self.touch();
+        Some(self.serves.stages()?.readers(query).await)
+    }
 }
 
 /// A port for other hosts that isn't served yet.
--- a/crates/peer/src/wire_peers.rs
+++ b/crates/peer/src/wire_peers.rs
@@ -15,6 +15,7 @@
 use tokio::time::timeout;
 use wire::{
     Claim, Exchange, Finish, Grant, HostNews, StageFree, StageLoads, StageResults, StageWork,
+    SubjectQuery, SubjectReaders,
 };
 
 use crate::listener::{FRAME_BYTES, PeerServiceClient};
@@ -192,4 +193,14 @@
     async fn news(&self, to: SocketAddr, news: HostNews) -> Result<(), PeerError> {
         self.call(to, |link, context| async move { link.client.news(context, news).await }).await
     }
+
+    async fn readers(
+        &self,
+        to: SocketAddr,
+        query: SubjectQuery,
+    ) -> Result<SubjectReaders, PeerError> {
+        let call =
+            |link: Arc<Link>, context| async move { link.client.readers(context, query).await };
+        self.call(to, call).await?.ok_or(PeerError::Refused)
+    }
 }
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -6,6 +6,7 @@
 //! | [`estimate`] | several stages under one aim | the first stage eats the last one's time |
 //! | [`place`] | engines with prompt caches; services near and far | prompts are read again, answers cross regions |
 //! | [`reading`] | long prompts among short ones | a short one waits behind three long ones beside an idle engine |
+//! | [`directory`] | more subjects than requests about each | engines read what another has just read |
 //! | [`health`] | a target that fails, is dark or slow | work goes on flowing to it |
 //! | [`budget`] | failing targets and repeated sends | repeats multiply the load when it hurts |
 //! | [`poison`] | a request that crashes whatever runs it | its re-sends take the targets down in turn |
@@ -15,6 +16,7 @@
 pub mod batch;
 pub mod budget;
 pub mod comeback;
+pub mod directory;
 pub mod estimate;
 pub mod health;
 pub mod place;
--- a/crates/wire/src/gen/siskinwheel.v1.rs
+++ b/crates/wire/src/gen/siskinwheel.v1.rs
@@ -794,6 +794,38 @@
     #[prost(string, tag = "2")]
     pub target: ::prost::alloc::string::String,
 }
+/// An engine has read prompts about a subject; for the host that keeps the list of such engines.
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(default)]
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct SubjectRead {
+    #[prost(string, tag = "1")]
+    pub service: ::prost::alloc::string::String,
+    /// Hash of the last part that prompts share.
+    #[prost(uint64, tag = "2")]
+    pub subject: u64,
+    /// One life of the engine.
+    #[prost(string, tag = "3")]
+    pub target: ::prost::alloc::string::String,
+}
+/// Asks which engines have read a subject.
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(default)]
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct SubjectQuery {
+    #[prost(string, tag = "1")]
+    pub service: ::prost::alloc::string::String,
+    #[prost(uint64, tag = "2")]
+    pub subject: u64,
+}
+/// Lives of engines that have read it, the newest first.
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(default)]
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct SubjectReaders {
+    #[prost(string, repeated, tag = "1")]
+    pub targets: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+}
 /// What one host tells another for its own decisions, and asks for.
 #[derive(serde::Serialize, serde::Deserialize)]
 #[serde(default)]
@@ -801,6 +833,8 @@
 pub struct HostNews {
     #[prost(message, repeated, tag = "1")]
     pub crashes: ::prost::alloc::vec::Vec<Crash>,
+    #[prost(message, repeated, tag = "2")]
+    pub reads: ::prost::alloc::vec::Vec<SubjectRead>,
 }
 /// Whether anything of a refused or failed request ran.
 #[derive(serde::Serialize, serde::Deserialize)]
