Hosts of a failure domain tell each other what they sent to engines

Cause: three hosts of a domain choose among the same six engines, and each knew only its own prompts.

--- a/crates/edge/src/composer/serve.rs
+++ b/crates/edge/src/composer/serve.rs
@@ -1,6 +1,7 @@
 //! The composer, for other hosts.
 
 use async_trait::async_trait;
+use base::Ms;
 use peer::StageServer;
 use std::sync::Arc;
 use wire::{
@@ -31,6 +32,9 @@
         for crash in news.crashes {
             self.0.core.poison().record(now, crash.fingerprint, &crash.target.into());
         }
+        for prompt in news.prompts {
+            self.0.core.read_elsewhere(&prompt.target, Ms(prompt.time_ms));
+        }
         let mut directory = self.0.core.directory();
         for read in news.reads {
             directory.record(&read.service, read.subject, &read.target);
--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -14,7 +14,6 @@
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinHandle;
-use wire::Crash;
 
 use crate::composer::{Composer, StageService};
 use crate::core::Core;
@@ -23,7 +22,7 @@
 use crate::members::{self, Members};
 use crate::metrics::Metrics;
 use crate::settings::Settings;
-use crate::{accept, follow, reload};
+use crate::{accept, follow, reload, tell};
 
 /// Time for which a stopping host goes on taking requests, ms: the platform asks every second, and
 /// sends nobody any more after two answers that the host isn't ready.
@@ -33,8 +32,6 @@
 const GIVE_UP: Ms = Ms(4_500);
 /// Time kept back from the platform's grace, ms, to close what is left and exit.
 const GRACE_REST: Ms = Ms(400);
-/// Time for which crashes are gathered before the others are told, ms.
-const TELL: Ms = Ms(50);
 /// Time between counts of the live hosts, ms.
 const COUNT: Ms = Ms::secs(1);
 
@@ -127,7 +124,8 @@
             tokio::spawn(follow::targets(core.clone(), directory)),
             tokio::spawn(reload::follow(core.clone(), path, changed)),
             tokio::spawn(composer.watch_far()),
-            tokio::spawn(tell(core.clone(), told)),
+            tokio::spawn(tell::crashes(core.clone(), told.crashes)),
+            tokio::spawn(tell::prompts(core.clone(), told.prompts)),
             tokio::spawn(count(core.clone())),
         ];
         let mut side = vec![answers(ready, Ready(core.clone())).await?];
@@ -217,18 +215,6 @@
     }
 }
 
-/// Tells the other hosts of crashes, a few at a time.
-async fn tell(core: Arc<Core>, mut told: mpsc::UnboundedReceiver<Crash>) {
-    while let Some(first) = told.recv().await {
-        tokio::time::sleep(TELL.duration()).await;
-        let mut crashes = vec![first];
-        while let Ok(next) = told.try_recv() {
-            crashes.push(next);
-        }
-        core.members.tell(crashes).await;
-    }
-}
-
 /// Keeps the number of hosts that share the allowance of second sends.
 async fn count(core: Arc<Core>) {
     loop {
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -38,6 +38,7 @@
 mod stream;
 mod subjects;
 mod submit;
+mod tell;
 
 pub use dialect::{AnswerHead, Ask, AskError, Dialect, Load, Onward, PromptPart, StageCall};
 pub use directory::{
--- a/crates/edge/src/members.rs
+++ b/crates/edge/src/members.rs
@@ -1,7 +1,7 @@
 //! The other hosts: who composes a service's calls, and what they must know at once.
 
 use async_trait::async_trait;
-use base::{Clock, HostId, Ms, PoolId, RegionId, TargetId, Version, rendezvous};
+use base::{Clock, DomainId, HostId, Ms, PoolId, RegionId, TargetId, Version, rendezvous};
 use gossip::{Node, NodeConfig};
 use peer::{StagePeers, StageServer, View, ViewHost, Wire};
 use std::collections::HashMap;
@@ -9,7 +9,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use store::{Api, StoreError};
 use tokio::sync::mpsc;
-use wire::{Crash, HostNews, Object, ObjectList};
+use wire::{Crash, HostNews, Object, ObjectList, PromptSent};
 
 use crate::settings::Settings;
 
@@ -25,6 +25,9 @@
 const DEAD: Ms = Ms(3_000);
 /// Hosts that are told of a crash by the host that saw it.
 const TOLD: usize = 128;
+/// Hosts of the failure domain that are told of a prompt, at a hundred bytes each: with more hosts
+/// the fleet's rate a host is lower, and a dozen know enough to avoid an engine that is in use.
+const NEAR_TOLD: usize = 12;
 
 /// Who composes a service's calls in a region.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -48,17 +51,27 @@
     clock: Arc<dyn Clock>,
     suspects: Mutex<HashMap<HostId, Ms>>,
     crashes: mpsc::UnboundedSender<Crash>,
+    prompts: mpsc::UnboundedSender<PromptSent>,
+}
+
+/// What is to be told to other hosts.
+pub(crate) struct Told {
+    /// Targets that broke under a request.
+    pub(crate) crashes: mpsc::UnboundedReceiver<Crash>,
+    /// Prompts sent to engines.
+    pub(crate) prompts: mpsc::UnboundedReceiver<PromptSent>,
 }
 
 impl Members {
-    /// Starts the node that knows who is alive. Crashes to tell come out of the receiver.
+    /// Starts the node that knows who is alive. What is to be told comes out of the receivers.
     pub(crate) async fn start(
         settings: &Settings,
         clock: Arc<dyn Clock>,
-    ) -> std::io::Result<(Self, Node, mpsc::UnboundedReceiver<Crash>)> {
+    ) -> std::io::Result<(Self, Node, Told)> {
         let config = NodeConfig { settings: node_settings(settings) };
         let (node, _news) = Node::start(config, Arc::new(NoStore), clock.clone()).await?;
-        let (crashes, told) = mpsc::unbounded_channel();
+        let (crashes, crashes_told) = mpsc::unbounded_channel();
+        let (prompts, prompts_told) = mpsc::unbounded_channel();
         let members = Self {
             me: settings.host.clone(),
             view: node.view(),
@@ -66,8 +79,9 @@
             clock,
             suspects: Mutex::default(),
             crashes,
+            prompts,
         };
-        Ok((members, node, told))
+        Ok((members, node, Told { crashes: crashes_told, prompts: prompts_told }))
     }
 
     /// Calls to other hosts.
@@ -136,12 +150,29 @@
         let _ = self.crashes.send(crash);
     }
 
-    /// Tells the others what happened.
-    pub(crate) async fn tell(&self, crashes: Vec<Crash>) {
+    /// A prompt was sent to an engine that reads it for `time`; the hosts that choose among the
+    /// same engines are told.
+    pub(crate) fn sent(&self, target: &TargetId, time: Ms) {
+        let prompt = PromptSent { target: target.as_str().to_owned(), time_ms: time.0 };
+        // The receiver lives as long as the host.
+        let _ = self.prompts.send(prompt);
+    }
+
+    /// Tells all others.
+    pub(crate) async fn tell_all(&self, news: HostNews) {
+        self.tell(news, TOLD, |_| true).await;
+    }
+
+    /// Tells the others of a failure domain.
+    pub(crate) async fn tell_domain(&self, domain: &DomainId, news: HostNews) {
+        self.tell(news, NEAR_TOLD, |h| h.domain == *domain).await;
+    }
+
+    async fn tell(&self, news: HostNews, most: usize, fits: impl Fn(&ViewHost) -> bool) {
         let hosts = self.view.hosts();
-        let others = hosts.iter().filter(|h| h.host != self.me).take(TOLD);
+        let others = hosts.iter().filter(|h| h.host != self.me && fits(h)).take(most);
         let calls = others.map(|h| {
-            let news = HostNews { crashes: crashes.clone(), reads: Vec::new() };
+            let news = news.clone();
             async move { (h.host.clone(), self.peers.news(h.address, news).await) }
         });
         for (host, told) in futures::future::join_all(calls).await {
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -30,6 +30,9 @@
 /// The same before its first event, beside the time to read the prompt: the engine may have to
 /// read long prompts of others first.
 const FIRST_SILENCE: Ms = Ms(2_500);
+/// Prompts that an engine reads for at least this long are told to other hosts, ms: a shorter one
+/// in the way is hardly noticed.
+const TOLD: Ms = Ms(20);
 /// Largest refusal or error of a target that is read, bytes.
 const ERROR_BYTES: usize = 1 << 20;
 
@@ -180,6 +183,9 @@
         let time = self.core.estimate().reading(&self.call.service, tokens);
         let alone = link.backlog().wait(now) == Ms::ZERO;
         link.backlog().sent(now, time);
+        if time >= TOLD {
+            self.core.members.sent(&link.life(), time);
+        }
         let wait = match self.call.route.repeat.is_idempotent() {
             true if self.runs + 1 < self.call.route.attempts => left.min(FIRST_SILENCE + reading),
             _ => left,
--- a/crates/edge/src/subjects.rs
+++ b/crates/edge/src/subjects.rs
@@ -88,7 +88,7 @@
             let reads = vec![SubjectRead { service, subject, target }];
             let core = core.clone();
             tokio::spawn(async move {
-                let news = HostNews { crashes: Vec::new(), reads };
+                let news = HostNews { reads, ..HostNews::default() };
                 if let Err(err) = core.members.peers().news(addr, news).await {
                     note!(logs::Event::PeerFailed, host = %host, call = "news", why = %err);
                 }
--- a/crates/wire/src/gen/siskinwheel.v1.rs
+++ b/crates/wire/src/gen/siskinwheel.v1.rs
@@ -808,6 +808,18 @@
     #[prost(string, tag = "3")]
     pub target: ::prost::alloc::string::String,
 }
+/// A prompt was sent to an engine that other hosts send prompts to as well.
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(default)]
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct PromptSent {
+    /// One life of the engine.
+    #[prost(string, tag = "1")]
+    pub target: ::prost::alloc::string::String,
+    /// Time that the engine takes to read it, ms.
+    #[prost(uint64, tag = "2")]
+    pub time_ms: u64,
+}
 /// Asks which engines have read a subject.
 #[derive(serde::Serialize, serde::Deserialize)]
 #[serde(default)]
@@ -835,6 +847,8 @@
     pub crashes: ::prost::alloc::vec::Vec<Crash>,
     #[prost(message, repeated, tag = "2")]
     pub reads: ::prost::alloc::vec::Vec<SubjectRead>,
+    #[prost(message, repeated, tag = "3")]
+    pub prompts: ::prost::alloc::vec::Vec<PromptSent>,
 }
 /// Whether anything of a refused or failed request ran.
 #[derive(serde::Serialize, serde::Deserialize)]
