--- a/crates/edge/src/composer/serve.rs
+++ b/crates/edge/src/composer/serve.rs
@@ -1,9 +1,12 @@
 //! The composer, for other hosts.
 
 use async_trait::async_trait;
+use base::Ms;
 use peer::StageServer;
 use std::sync::Arc;
-use wire::{HostNews, StageFree, StageLoads, StageResults, StageWork};
+use wire::{
+    HostNews, StageFree, StageLoads, StageResults, StageWork, SubjectQuery, SubjectReaders,
+};
 
 use super::Composer;
 
@@ -29,5 +32,17 @@
         for crash in news.crashes {
             self.0.core.poison().record(now, crash.fingerprint, &crash.target.into());
         }
+        for prompt in news.prompts {
+            self.0.core.read_elsewhere(&prompt.target, Ms(prompt.time_ms));
+        }
+        let mut directory = self.0.core.directory();
+        for read in news.reads {
+            directory.record(&read.service, read.subject, &read.target);
+        }
+    }
+
+    async fn readers(&self, query: SubjectQuery) -> SubjectReaders {
+        let targets = self.0.core.directory().readers(&query.service, query.subject);
+        SubjectReaders { targets }
     }
 }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -36,7 +36,9 @@
 mod settings;
 mod stages;
 mod stream;
+mod subjects;
 mod submit;
+mod tell;
 
 pub use dialect::{AnswerHead, Ask, AskError, Dialect, Load, Onward, PromptPart, StageCall};
 pub use directory::{
