What a stage's pieces read weighs in passing it on to another region

Cause: a stage goes to another region that can start it sooner by more than its bytes are worth, but only the bytes of its results counted.

Change: what the pieces read counts too; the decision is a module of its own.

--- a/crates/edge/src/composer/far.rs
+++ b/crates/edge/src/composer/far.rs
@@ -1,9 +1,7 @@
-//! Work that another region can start sooner.
-//!
-//! Regions have few targets of a service, and a burst or a lost target fills one while another
-//! idles. Without this each region's callers wait behind their own targets alone.
+//! Stage work for other regions: their loads, and what is passed on to them.
 
 use base::{Ms, PoolId, RegionId};
+use sched::offload;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use wire::{StageResults, StageWork};
@@ -12,12 +10,6 @@
 use crate::members::Owner;
 use crate::remote::{self, Missed};
 
-/// How much sooner another region must be able to start a stage for it to go there, ms: the way
-/// there and back, twice, and some, since its load is known from a while ago.
-const FAR_COST: Ms = Ms(120);
-/// Bytes of results that weigh as much as a ms of waiting when they cross regions: two megabytes,
-/// which cross for the price of a twelfth of a long report, weigh as half a call.
-const BYTES_PER_MS: u64 = 16_000;
 /// Age up to which another region's load is believed, ms.
 const LOAD_AGE: Ms = Ms(1_000);
 /// Time between looks at the other regions, ms: half the time of a call.
@@ -40,19 +32,18 @@
             Some(service) => lock(&service.state).batcher.wait(now),
             None => (!self.places(service).is_empty()).then_some(Ms::ZERO),
         };
-        let cost = FAR_COST + Ms(work.bytes * u64::from(work.pieces) / BYTES_PER_MS);
-        let far = lock(&self.far).iter().filter(|((s, _), _)| s == service).fold(
-            None,
-            |best: Option<(Ms, RegionId)>, ((_, region), (at, wait))| match best {
-                _ if now - *at > LOAD_AGE => best,
-                Some((least, _)) if least <= *wait => best,
-                _ => Some((*wait, region.clone())),
-            },
-        );
-        let region = match (here, far) {
-            (Some(here), Some((wait, _))) if here <= wait + cost => return None,
-            (_, Some((_, region))) => region,
-            (Some(_), None) => return None,
+        let stage =
+            offload::Stage { pieces: u64::from(work.pieces), bytes: work.bytes, reads: work.reads };
+        let better = {
+            let far = lock(&self.far);
+            let known =
+                far.iter().filter(|((s, _), (at, _))| s == service && now - *at <= LOAD_AGE);
+            let known = known.map(|((_, region), (_, wait))| (region.clone(), *wait));
+            offload::better(stage, here, known)
+        };
+        let region = match (better, here) {
+            (Some(region), _) => region,
+            (None, Some(_)) => return None,
             // Nothing here, and no word of the others yet: any that has a target.
             (None, None) => self.region_with_target(service, &work.request)?,
         };
--- a/crates/edge/src/stages.rs
+++ b/crates/edge/src/stages.rs
@@ -280,11 +280,22 @@
             expires_ms: (expires - now).0,
             rank: u32::from(self.call.rank()),
             bytes: stage.bytes,
+            reads: self.reads(i),
             passed_on: false,
             release: Vec::new(),
         }
     }
 
+    /// Bytes of results that each piece of a stage reads.
+    fn reads(&self, i: usize) -> u64 {
+        let stages = &self.call.route.stages;
+        let size = |a: &usize| {
+            let count = self.done[*a].as_ref().map_or(0, |handles| handles.len());
+            stages[*a].bytes * count as u64
+        };
+        stages[i].after.iter().map(size).sum()
+    }
+
     /// When the first of a stage's inputs lapses.
     fn inputs_lapse(&self, i: usize) -> Ms {
         let after = &self.call.route.stages[i].after;
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -3,6 +3,7 @@
 //! | module | answers | without it |
 //! |---|---|---|
 //! | [`batch`] | many small stage calls with a high fixed cost, from many hosts | targets are full at a third of what they can do |
+//! | [`offload`] | a region that is full beside one that idles | each region's callers wait behind their own targets |
 //! | [`estimate`] | several stages under one aim | the first stage eats the last one's time |
 //! | [`place`] | engines with prompt caches; services near and far | prompts are read again, answers cross regions |
 //! | [`reading`] | long prompts among short ones | a short one waits behind three long ones beside an idle engine |
@@ -19,6 +20,7 @@
 pub mod directory;
 pub mod estimate;
 pub mod health;
+pub mod offload;
 pub mod place;
 pub mod poison;
 pub mod reading;
--- a/crates/wire/src/gen/siskinwheel.v1.rs
+++ b/crates/wire/src/gen/siskinwheel.v1.rs
@@ -712,6 +712,9 @@
     /// Results that nobody else reads: given up as soon as all pieces have read them.
     #[prost(message, repeated, tag = "12")]
     pub release: ::prost::alloc::vec::Vec<StageRelease>,
+    /// Bytes of results that each piece reads.
+    #[prost(uint64, tag = "13")]
+    pub reads: u64,
 }
 /// Results that are given up at the host that composed the calls that made them.
 #[derive(serde::Serialize, serde::Deserialize)]
