Late stage work is judged by the calls of its own service

Cause: late work was given up after a second without a call, its rate taken over two: two and four calls of the first two deployments. Calls of the third take 0.28 s, so its callers waited for seven calls for a refusal.

Change: the same two and four, in full calls of the service as declared.

--- a/crates/sched/src/batch/late.rs
+++ b/crates/sched/src/batch/late.rs
@@ -8,11 +8,11 @@
 use base::Ms;
 use std::collections::VecDeque;
 
-/// Time over which the rate of late pieces is taken, ms: four calls of a target, so that calls of
-/// two requests and of three average out.
-const WINDOW: Ms = Ms(2_000);
-/// Time for which late pieces wait before any is given up, ms: two calls. A short peak is over then.
-const TRIAL: Ms = Ms(1_000);
+/// Full calls of one target over which the rate of late pieces is taken, so that calls of two
+/// requests and of three average out.
+const WINDOW: u64 = 4;
+/// Full calls for which late pieces wait before any is given up. A short peak is over then.
+const TRIAL: u64 = 2;
 
 /// Pieces of one request that are late and wait for a call.
 pub(super) struct Late<K> {
@@ -37,9 +37,11 @@
     }
 
     /// Requests without a chance, of those that wait, in the order in which they would be taken.
+    /// `call` is the time of a full call.
     pub(super) fn hopeless<K>(
         &mut self,
         now: Ms,
+        call: Ms,
         waiting: impl IntoIterator<Item = Late<K>>,
     ) -> Vec<K> {
         let mut waiting = waiting.into_iter().peekable();
@@ -49,11 +51,12 @@
             return Vec::new();
         }
         let since = *self.since.get_or_insert(now);
-        let span = (now - since).min(WINDOW);
-        while self.taken.front().is_some_and(|(at, _)| *at + WINDOW < now) {
+        let window = Ms(call.0 * WINDOW);
+        let span = (now - since).min(window);
+        while self.taken.front().is_some_and(|(at, _)| *at + window < now) {
             self.taken.pop_front();
         }
-        if span < TRIAL {
+        if span < Ms(call.0 * TRIAL) {
             return Vec::new();
         }
         let taken: usize = self.taken.iter().map(|(_, pieces)| pieces).sum();
--- a/crates/sched/src/batch/mod.rs
+++ b/crates/sched/src/batch/mod.rs
@@ -166,7 +166,7 @@
             late.pieces += 1;
             late.key.push(*id);
         }
-        let hopeless = self.late.hopeless(now, waiting.into_values());
+        let hopeless = self.late.hopeless(now, self.time(self.shape.size), waiting.into_values());
         hopeless.into_iter().flatten().for_each(|id| self.finish(id, PieceEnd::Late, out));
     }
 
--- a/crates/sched/tests/batch.rs
+++ b/crates/sched/tests/batch.rs
@@ -273,6 +273,22 @@
     assert!(!late.iter().any(|id| refused.contains(id)), "it was in the first call");
 }
 
+// The same where calls are short: what a call takes, not the clock, says how long is in vain.
+#[test]
+fn late_work_behind_short_calls_is_refused_sooner() {
+    let mut bench = Bench::new(Batch { call_ms: 60.0, item_ms: 5.0, ..shape() }, &["a"]);
+    bench.submit("late", 4, |p| p.due = Ms(0));
+    let late2 = bench.submit("late2", 4, |p| p.due = Ms(0));
+    let begun = bench.now;
+    for call in 0..6 {
+        bench.submit(&format!("new{call}"), 8, |_| ());
+        bench.submit(&format!("more{call}"), 8, |_| ());
+        bench.finish(call, Ms(100));
+    }
+    let refused: Vec<PieceId> = bench.ends.iter().filter_map(late_end).collect();
+    assert!(late2.iter().all(|id| refused.contains(id)), "after {} ms", (bench.now - begun).0);
+}
+
 #[test]
 fn late_work_that_gets_its_turn_in_time_is_kept() {
     let mut bench = Bench::new(shape(), &["a"]);
