siskinwheel account: where late requests lost their time, by route

Served requests say by how much they were late; the account adds the lines of all hosts up by route and cause: results gone, sent again, stages, engine.

--- a/bins/siskinwheel/src/args.rs
+++ b/bins/siskinwheel/src/args.rs
@@ -34,6 +34,7 @@
     Leave { target: String, back: bool, note: Note },
     Explain { workspace: String, pipeline: String, file: Option<PathBuf> },
     Story { request: String, files: Vec<PathBuf> },
+    Account { files: Vec<PathBuf> },
 }
 
 /// Who changes and why.
@@ -61,6 +62,7 @@
             }
             "leave" => leave(&mut args)?,
             "explain" => explain(&mut args)?,
+            "account" => Command::Account { files: files(&mut args)? },
             other => bail!("there is no command '{other}'"),
         };
         match args.finish().as_slice() {
@@ -77,7 +79,8 @@
             | Command::CheckEdge { .. }
             | Command::CheckDeploy { .. }
             | Command::Explain { file: Some(_), .. }
-            | Command::Story { .. } => {}
+            | Command::Story { .. }
+            | Command::Account { .. } => {}
             Command::Apply { .. } | Command::Leave { .. } if none => {
                 bail!("give the platform's address with --platform")
             }
@@ -98,11 +101,15 @@
         return Ok(Command::Explain { workspace, pipeline, file });
     }
     let request = args.free_from_str().context("give a request's id, or --workspace")?;
+    Ok(Command::Story { request, files: files(args)? })
+}
+
+fn files(args: &mut Arguments) -> Result<Vec<PathBuf>> {
     let mut files = Vec::new();
     while let Some(file) = args.opt_free_from_str::<String>()? {
         files.push(file.into());
     }
-    Ok(Command::Story { request, files })
+    Ok(files)
 }
 
 fn check(args: &mut Arguments) -> Result<Command> {
--- a/bins/siskinwheel/src/run.rs
+++ b/bins/siskinwheel/src/run.rs
@@ -74,6 +74,11 @@
                 logs.iter().flat_map(|(name, text)| text.lines().map(move |l| (&**name, l)));
             options.print(&ctl::story(request, lines), Exit::Done)
         }
+        Command::Account { files } => {
+            let logs = logs(files)?;
+            let lines = logs.iter().flat_map(|(_, text)| text.lines());
+            options.print(&ctl::account(lines), Exit::Done)
+        }
         Command::Explain { workspace, pipeline, file } => {
             let plan = plan(options, file.as_deref()).await?;
             options.print(&ctl::explain(&plan, workspace, pipeline, now)?, Exit::Done)
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -1,5 +1,6 @@
 //! What the operator's command line does: checks, changes and questions about the configuration.
 
+mod account;
 mod apply;
 mod audit;
 mod check;
@@ -15,6 +16,7 @@
 mod status;
 mod story;
 
+pub use account::{Account, Cause, RouteAccount, account};
 pub use apply::{Applied, ChangeNote, Settle, apply, apply_within, base_of, read_fleet, with_base};
 pub use audit::{AUDIT_KIND, PAGE, history, page_name};
 pub use check::{Checked, Finding, check, findings};
--- a/crates/ctl/src/story.rs
+++ b/crates/ctl/src/story.rs
@@ -39,10 +39,14 @@
     Story { request: request.to_owned(), steps }
 }
 
+/// The JSON of a log line; what stands before it, such as a host's name, is left out.
+pub(crate) fn json_line(line: &str) -> Option<Value> {
+    serde_json::from_str(line.get(line.find('{')?..)?).ok()
+}
+
 fn step(request: &str, file: &str, line: &str) -> Option<Step> {
-    let start = line.find('{')?;
-    let (before, json) = line.split_at(start);
-    let line: Value = serde_json::from_str(json).ok()?;
+    let before = line.split('{').next()?;
+    let line = json_line(line)?;
     let fields = line.get("fields")?.as_object()?;
     if fields.get("request")?.as_str()? != request {
         return None;
--- a/crates/ctl/tests/suite/main.rs
+++ b/crates/ctl/tests/suite/main.rs
@@ -1,5 +1,6 @@
 //! Changes of the configuration, over the platform in memory and over HTTP.
 
+mod account;
 mod apply;
 mod diff;
 mod fuzz;
--- a/crates/edge/src/plain.rs
+++ b/crates/edge/src/plain.rs
@@ -141,7 +141,8 @@
     core.poison().clear(call.fingerprint);
     core.metrics.sent(&call.route.name, "good");
     core.metrics.answered(&call.route.name, now - call.arrived, call.route.aim);
-    if let Some(stands_for) = core.sample(now - call.arrived > call.route.aim) {
+    let late = now - call.arrived - call.route.aim;
+    if let Some(stands_for) = core.sample(late > Ms::ZERO) {
         note!(
             logs::Event::RequestServed,
             request = %call.ask.id,
@@ -149,6 +150,7 @@
             version = call.catalog.version,
             target = link.name(),
             took_ms = (now - call.arrived).0,
+            late_ms = late.0,
             stands_for
         );
     }
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -341,8 +341,8 @@
         self.core.poison().clear(self.call.fingerprint);
         self.core.metrics.sent(&self.call.route.name, "good");
         let now = self.core.clock.now();
-        let late = self.first.is_none_or(|at| at - self.call.arrived > self.call.route.aim);
-        if let Some(stands_for) = self.core.sample(late) {
+        let late = self.first.unwrap_or(now) - self.call.arrived - self.call.route.aim;
+        if let Some(stands_for) = self.core.sample(late > Ms::ZERO) {
             note!(
                 logs::Event::RequestServed,
                 request = %self.call.ask.id,
@@ -353,6 +353,7 @@
                 first_ms = self.first.map(|at| (at - self.call.arrived).0),
                 stages_ms = (self.staged - self.call.arrived).0,
                 took_ms = (now - self.call.arrived).0,
+                late_ms = late.0,
                 stands_for
             );
         }
