Time of a call in one place; callers of failed stages return after a call of their own service

The time to come back was at least 400 ms, the calls of the first two deployments; now it is the longest full call among the request's stages, as declared. The time of a call was worked out in four places.

--- a/crates/catalog/src/model.rs
+++ b/crates/catalog/src/model.rs
@@ -121,6 +121,18 @@
     pub keep: Ms,
 }
 
+impl Batch {
+    /// Declared time of a call with so many pieces, ms.
+    pub fn time(&self, pieces: usize) -> Ms {
+        Ms((self.call_ms + self.item_ms * pieces as f64) as u64)
+    }
+
+    /// The same of a full call.
+    pub fn full(&self) -> Ms {
+        self.time(self.size)
+    }
+}
+
 /// How targets of a service run generations.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Engine {
--- a/crates/edge/src/refusal.rs
+++ b/crates/edge/src/refusal.rs
@@ -10,9 +10,6 @@
 use crate::dialect::AskError;
 use crate::request::Call;
 
-/// Time of a call of a stage, ms: those that are known take 350 to 450.
-const STAGE_CALL: Ms = Ms(400);
-
 /// Why a request gets no target's answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Reason {
@@ -36,7 +33,7 @@
     NoTime,
     /// No target takes it.
     NoTarget,
-    /// Its stages can't be done. One handed in now would wait this long for a call.
+    /// Its stages can't be done. What stands in the way is over in this time.
     Stages(Ms),
     /// It crashes the targets that run it.
     Poison,
@@ -92,9 +89,7 @@
             Self::Unproved | Self::Stopping | Self::NoConfig => Some(Ms(50)),
             // A target comes back, or its ejection ends.
             Self::NoTarget => Some(Ms(500)),
-            // What waits now is done then; at least one call of a stage.
-            Self::Stages(Ms(wait)) if wait > STAGE_CALL.0 => Some(Ms(wait)),
-            Self::Stages(_) => Some(STAGE_CALL),
+            Self::Stages(wait) => Some(wait),
             _ => None,
         }
     }
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -117,7 +117,9 @@
                 }
                 Sent::Answer(response) => return Started::Answer(response),
                 Sent::NotRun => {}
-                Sent::Gone if self.redone => return Started::Refused(Reason::Stages(Ms::ZERO)),
+                Sent::Gone if self.redone => {
+                    return Started::Refused(Reason::Stages(stages::longest_call(&self.call)));
+                }
                 Sent::Gone => {
                     if let Err(reason) = self.redo_stages().await {
                         return Started::Refused(reason);
--- a/crates/edge/src/stages.rs
+++ b/crates/edge/src/stages.rs
@@ -35,11 +35,18 @@
     match end {
         Ok(()) => Ok(run.close()),
         Err(_) if call.left(app.core.clock.now()) == Ms::ZERO => Err(Reason::NoTime),
-        Err(StageFault::Late(wait)) => Err(Reason::Stages(wait)),
-        Err(StageFault::Gone | StageFault::Failed) => Err(Reason::Stages(Ms::ZERO)),
+        Err(StageFault::Late(wait)) => Err(Reason::Stages(wait.max(longest_call(call)))),
+        Err(StageFault::Gone | StageFault::Failed) => Err(Reason::Stages(longest_call(call))),
     }
 }
 
+/// Time of the longest full call among a request's stages, as declared: before that nothing changes
+/// at a target that is busy.
+pub(crate) fn longest_call(call: &Call) -> Ms {
+    let batches = call.route.stages.iter().filter_map(|stage| batch(call, &stage.service));
+    batches.map(Batch::full).max().unwrap_or_default()
+}
+
 type Working = BoxFuture<'static, (usize, Result<StageOutput, StageFault>)>;
 
 struct Run<'a> {
--- a/crates/sched/src/batch/mod.rs
+++ b/crates/sched/src/batch/mod.rs
@@ -128,7 +128,7 @@
     fn wait_behind(&self, now: Ms, ahead: usize) -> Option<Ms> {
         let mut free: Vec<Ms> =
             self.targets.values().filter(|t| t.usable(now)).map(|t| t.free_at(now)).collect();
-        let full = self.time(self.fill as usize);
+        let full = self.shape.time(self.fill as usize);
         for _ in 0..(ahead as f64 / self.fill.max(1.0)) as usize {
             let first = free.iter_mut().min()?;
             *first += full;
@@ -148,7 +148,7 @@
 
     /// Whether a piece will be late even in a call that begins now.
     fn is_late(&self, now: Ms, piece: &Piece) -> bool {
-        piece.due < now + self.time(1)
+        piece.due < now + self.shape.time(1)
     }
 
     /// Ends late pieces that won't get into a call while they are of use.
@@ -166,7 +166,7 @@
             late.pieces += 1;
             late.key.push(*id);
         }
-        let hopeless = self.late.hopeless(now, self.time(self.shape.size), waiting.into_values());
+        let hopeless = self.late.hopeless(now, self.shape.full(), waiting.into_values());
         hopeless.into_iter().flatten().for_each(|id| self.finish(id, PieceEnd::Late, out));
     }
 
@@ -192,10 +192,6 @@
         self.pieces.values().filter(|w| w.queued).count()
     }
 
-    fn time(&self, pieces: usize) -> Ms {
-        Ms((self.shape.call_ms + self.shape.item_ms * pieces as f64) as u64)
-    }
-
     fn submit(&mut self, now: Ms, pieces: Vec<(PieceId, Piece)>, out: &mut Vec<Effect>) {
         let requests: HashSet<&str> = pieces.iter().map(|(_, p)| &*p.request).collect();
         for _ in requests {
@@ -357,7 +353,7 @@
         let best = best.fold(f64::INFINITY, f64::min);
         let soonest = self.targets.values().filter(|t| t.usable(now) && !t.slow(best));
         let soonest = soonest.map(|t| t.free_at(now)).min();
-        let normal = self.time(self.shape.size);
+        let normal = self.shape.full();
         let worth = |t: &Target| match soonest {
             // A slow target is left alone while a normal one would end the same call sooner.
             Some(free) if t.slow(best) => {
@@ -385,7 +381,7 @@
             .map(|(id, w)| order::Queued { id: *id, piece: &w.piece, since: w.since })
             .collect();
         let count = queued.len().min(self.shape.size);
-        let call = target.scaled(self.time(count));
+        let call = target.scaled(self.shape.time(count));
         let end = target.free_at(now) + call;
         let room = self.shape.room.saturating_sub(target.kept(now));
         order::choose(queued, now, end, call, &self.shape, room)
@@ -402,7 +398,7 @@
         }
         self.next += 1;
         let call = CallId(self.next);
-        let time = Ms((self.shape.call_ms + self.shape.item_ms * ids.len() as f64) as u64);
+        let time = self.shape.time(ids.len());
         let mut pieces = Vec::with_capacity(ids.len());
         for piece in &ids {
             let Some(waiting) = self.pieces.get_mut(piece) else { continue };
