Pieces of stages go to targets in the failure domain of their inputs

Cause: the grown deployments have two domains a region, and a request's stages went to whichever target of the region was free.

Change: a piece names the domain where what it reads lies, or where its engine is. A target takes its own domain's pieces first, and leaves another's to a target that is free there; none idles for it, and a piece waits for its own domain a call at most.

With one domain a region nothing changes.

--- a/crates/edge/src/composer/mod.rs
+++ b/crates/edge/src/composer/mod.rs
@@ -144,7 +144,11 @@
     fn places(&self, service: &PoolId) -> Vec<Place> {
         let links = self.core.links();
         let settings = self.core.settings();
-        let place = |l: &Arc<Link>| Place { id: l.entry.id.clone(), born: l.entry.born };
+        let place = |l: &Arc<Link>| Place {
+            id: l.entry.id.clone(),
+            born: l.entry.born,
+            domain: l.entry.domain.clone(),
+        };
         let composed = |l: &Arc<Link>| match settings.region_of(&l.entry.domain) {
             Some(region) if region == settings.region() => true,
             Some(region) => !self.core.members.composes(&settings, service, region),
--- a/crates/edge/src/composer/submission.rs
+++ b/crates/edge/src/composer/submission.rs
@@ -65,6 +65,7 @@
         false => Source::Inputs(work.inputs.clone().into()),
     };
     let request: Arc<str> = work.request.as_str().into();
+    let home = (!work.passed_on && !work.home.is_empty()).then(|| work.home.as_str().into());
     let piece = |index| Piece {
         request: request.clone(),
         stage: work.stage,
@@ -74,6 +75,7 @@
         expires: now + Ms(work.expires_ms),
         rank: work.rank.min(9) as u8,
         bytes: work.bytes,
+        home: home.clone(),
     };
     (0..work.pieces).map(piece).collect()
 }
--- a/crates/edge/src/stages.rs
+++ b/crates/edge/src/stages.rs
@@ -1,6 +1,6 @@
 //! The stages of one request: each handed in as soon as those that it reads are done.
 
-use base::{Ms, PoolId, RegionId};
+use base::{DomainId, Ms, PoolId};
 use catalog::Batch;
 use futures::StreamExt;
 use futures::future::BoxFuture;
@@ -205,8 +205,11 @@
                 continue;
             }
             self.begun[i] = Some(self.app.core.clock.now());
-            let region = self.region(i);
+            let domain = self.domain(i);
+            let settings = self.app.core.settings();
+            let region = settings.region_of(&domain).unwrap_or(settings.region()).clone();
             let mut work = self.work(i, pieces);
+            work.home = domain.as_str().to_owned();
             work.release = self.release(i);
             let app = self.app.clone();
             let service = stage.service.clone();
@@ -239,22 +242,22 @@
         after.iter().any(|a| *a == from || self.leads_to(from, *a))
     }
 
-    /// Where a stage should be done: where what it reads lies, if that is much, else here. A stage
-    /// that was passed on to another region would have its results cross back otherwise.
-    fn region(&self, i: usize) -> RegionId {
-        let settings = self.app.core.settings();
+    /// Where a stage should be done: where what it reads lies, if that is much, else here, where
+    /// the engine reads its results. A stage that was passed on to another region would have its
+    /// results cross back otherwise.
+    fn domain(&self, i: usize) -> DomainId {
         let links = self.app.core.links();
         let stages = &self.call.route.stages;
         let held = stages[i].after.iter().filter_map(|a| Some((a, self.held[*a].as_ref()?)));
         let first = |output: &StageOutput| {
             let target = links.named(&output.results.first()?.target.as_str().into())?.clone();
-            settings.region_of(&target.entry.domain).cloned()
+            Some(target.entry.domain.clone())
         };
         let size = |a: usize, output: &StageOutput| stages[a].bytes * output.results.len() as u64;
         let large = held.filter(|(a, output)| size(**a, output) >= LARGE);
         let found = large.max_by_key(|(a, output)| size(**a, output));
-        let region = found.and_then(|(_, output)| first(output));
-        region.unwrap_or_else(|| settings.region().clone())
+        let domain = found.and_then(|(_, output)| first(output));
+        domain.unwrap_or_else(|| self.app.core.settings().domain.clone())
     }
 
     /// What only this stage reads, for its composer to give up.
@@ -288,6 +291,7 @@
             rank: u32::from(self.call.rank()),
             bytes: stage.bytes,
             reads: self.reads(i),
+            home: String::new(),
             passed_on: false,
             release: Vec::new(),
         }
--- a/crates/model/src/stages/play.rs
+++ b/crates/model/src/stages/play.rs
@@ -1,6 +1,6 @@
 //! A day of requests with stages, by design.
 
-use base::{Ms, PoolId};
+use base::{DomainId, Ms, PoolId};
 use catalog::Batch;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -155,7 +155,10 @@
     }
 
     pub(super) fn tell_targets(&mut self, unit: usize, targets: &[usize]) {
-        let places = targets.iter().map(|t| Place { id: name(*t), born: 1 }).collect();
+        let places = targets
+            .iter()
+            .map(|t| Place { id: name(*t), born: 1, domain: DomainId::from("only") })
+            .collect();
         self.feed(unit, Event::Targets(places));
     }
 
--- a/crates/model/src/stages/requests.rs
+++ b/crates/model/src/stages/requests.rs
@@ -65,6 +65,7 @@
             expires: request.since + PATIENCE - after,
             rank: request.kind.rank,
             bytes: declared.bytes,
+            home: None,
         };
         let (service, host, count) = (declared.service, request.host, request.left[stage]);
         let unit = self.unit(service, host);
--- a/crates/sched/src/batch/mod.rs
+++ b/crates/sched/src/batch/mod.rs
@@ -30,7 +30,7 @@
 pub use target::{OVERDUE, OVERDUE_SLACK};
 pub use types::{CallEnd, CallId, Effect, Event, Piece, PieceEnd, PieceId, Place, Source};
 
-use base::{Ms, PoolId, TargetId};
+use base::{DomainId, Ms, PoolId, TargetId};
 use catalog::Batch;
 use std::collections::{BTreeMap, HashMap, HashSet};
 
@@ -216,7 +216,10 @@
         for place in places {
             match self.targets.get(&place.id) {
                 Some(known) if known.born == place.born => {}
-                _ => drop(self.targets.insert(place.id.clone(), Target::new(place.born))),
+                _ => drop(
+                    self.targets
+                        .insert(place.id.clone(), Target::new(place.born, place.domain.clone())),
+                ),
             }
         }
     }
@@ -336,11 +339,16 @@
     }
 
     /// Gives every target that is free, or about to be, a call.
+    ///
+    /// Of the targets of a region a piece goes to one in the failure domain where its inputs lie, as
+    /// long as one is free there: results that cross domains are paid by volume. No target idles
+    /// for it.
     fn fill(&mut self, now: Ms, out: &mut Vec<Effect>) {
         let mut passed = HashSet::new();
         while self.pieces.values().any(|w| w.queued) {
             let Some(id) = self.free_target(now, &passed) else { return };
-            let pieces = self.choose(now, &id);
+            let others = self.free_domains(now, &passed, &id);
+            let pieces = self.choose(now, &id, &others);
             match pieces.is_empty() {
                 true => drop(passed.insert(id)),
                 false => self.call(now, id, pieces, out),
@@ -348,6 +356,23 @@
         }
     }
 
+    /// Failure domains in which other targets than `id` would take a call now.
+    fn free_domains(
+        &self,
+        now: Ms,
+        passed: &HashSet<TargetId>,
+        id: &TargetId,
+    ) -> HashSet<&DomainId> {
+        let free = |(name, t): &(&TargetId, &Target)| {
+            *name != id && self.takes(now, t) && !passed.contains(*name)
+        };
+        self.targets.iter().filter(free).map(|(_, t)| &t.domain).collect()
+    }
+
+    fn takes(&self, now: Ms, target: &Target) -> bool {
+        target.usable(now) && target.accepts(now, self.shape.slots)
+    }
+
     fn free_target(&self, now: Ms, passed: &HashSet<TargetId>) -> Option<TargetId> {
         let best = self.targets.values().filter(|t| t.usable(now)).map(Target::speed);
         let best = best.fold(f64::INFINITY, f64::min);
@@ -361,9 +386,8 @@
             }
             _ => true,
         };
-        let takes = |id: &TargetId, t: &Target| {
-            t.usable(now) && t.accepts(now, self.shape.slots) && worth(t) && !passed.contains(id)
-        };
+        let takes =
+            |id: &TargetId, t: &Target| self.takes(now, t) && worth(t) && !passed.contains(id);
         let free = self.targets.iter().filter(|(id, t)| takes(id, t));
         free.min_by(|(_, a), (_, b)| {
             a.rank(now).partial_cmp(&b.rank(now)).unwrap_or(std::cmp::Ordering::Equal)
@@ -371,14 +395,17 @@
         .map(|(id, _)| id.clone())
     }
 
-    /// The pieces of the next call to a target.
-    fn choose(&self, now: Ms, id: &TargetId) -> Vec<PieceId> {
+    /// The pieces of the next call to a target, without those that a free one of `others` is for.
+    fn choose(&self, now: Ms, id: &TargetId, others: &HashSet<&DomainId>) -> Vec<PieceId> {
         let Some(target) = self.targets.get(id) else { return Vec::new() };
+        let far = |w: &Waiting| w.piece.home.as_ref().is_some_and(|home| *home != target.domain);
+        let for_other =
+            |w: &Waiting| far(w) && w.piece.home.as_ref().is_some_and(|h| others.contains(h));
         let queued: Vec<order::Queued<'_>> = self
             .pieces
             .iter()
-            .filter(|(_, w)| w.queued)
-            .map(|(id, w)| order::Queued { id: *id, piece: &w.piece, since: w.since })
+            .filter(|(_, w)| w.queued && !for_other(w))
+            .map(|(id, w)| order::Queued { id: *id, piece: &w.piece, since: w.since, far: far(w) })
             .collect();
         let count = queued.len().min(self.shape.size);
         let call = target.scaled(self.shape.time(count));
--- a/crates/sched/src/batch/order.rs
+++ b/crates/sched/src/batch/order.rs
@@ -12,6 +12,8 @@
     pub(super) id: PieceId,
     pub(super) piece: &'a Piece,
     pub(super) since: Ms,
+    /// Whether the target is in another failure domain than the piece should be made in.
+    pub(super) far: bool,
 }
 
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -41,7 +43,10 @@
         let band = band(q);
         let (rank, time) = match band {
             Band::Last => (0, q.piece.expires),
+            // What is nearer another target waits for it, for a call at most.
+            Band::OnTime if q.far => (q.piece.rank, q.piece.due + call),
             Band::OnTime => (q.piece.rank, q.piece.due),
+            Band::Late if q.far => (q.piece.rank, q.since + call),
             Band::Late => (q.piece.rank, q.since),
         };
         // Pieces of one request stay together: a part of them is of no use.
--- a/crates/sched/src/batch/target.rs
+++ b/crates/sched/src/batch/target.rs
@@ -1,6 +1,6 @@
 //! One stage target as its composer sees it.
 
-use base::Ms;
+use base::{DomainId, Ms};
 
 use super::room::Room;
 use super::{CallEnd, CallId, PieceEnd};
@@ -49,6 +49,7 @@
 #[derive(Debug)]
 pub(super) struct Target {
     pub(super) born: u64,
+    pub(super) domain: DomainId,
     pub(super) live: bool,
     open: Vec<Open>,
     speed: f64,
@@ -62,9 +63,10 @@
 }
 
 impl Target {
-    pub(super) fn new(born: u64) -> Self {
+    pub(super) fn new(born: u64, domain: DomainId) -> Self {
         Self {
             born,
+            domain,
             live: true,
             open: Vec::new(),
             speed: 1.0,
--- a/crates/sched/src/batch/types.rs
+++ b/crates/sched/src/batch/types.rs
@@ -1,6 +1,6 @@
 //! What a batcher is told, and what it asks for.
 
-use base::{Ms, TargetId};
+use base::{DomainId, Ms, TargetId};
 use catalog::Batch;
 use std::sync::Arc;
 
@@ -40,6 +40,8 @@
     pub rank: u8,
     /// Approximate size of its result, bytes.
     pub bytes: u64,
+    /// Failure domain in which it should be made; none for any.
+    pub home: Option<DomainId>,
 }
 
 /// How a piece ended.
@@ -81,6 +83,8 @@
     pub id: TargetId,
     /// When it started: another life under the same name has nothing of the earlier one.
     pub born: u64,
+    /// Where it is.
+    pub domain: DomainId,
 }
 
 /// What happened.
--- a/crates/sched/tests/common/mod.rs
+++ b/crates/sched/tests/common/mod.rs
@@ -2,7 +2,7 @@
 
 #![allow(dead_code, reason = "each test file uses a part")]
 
-use base::{Ms, PoolId, TargetId};
+use base::{DomainId, Ms, PoolId, TargetId};
 use catalog::Batch;
 use sched::batch::{
     Batcher, CallEnd, CallId, Effect, Event, Piece, PieceEnd, PieceId, Place, Source,
@@ -47,8 +47,12 @@
         bench
     }
 
+    /// Targets of one failure domain, or as `name:domain`.
     pub fn targets(&mut self, names: &[&str]) {
-        let place = |name: &&str| Place { id: TargetId::from(*name), born: 1 };
+        let place = |name: &&str| {
+            let (id, domain) = name.split_once(':').unwrap_or((*name, "one"));
+            Place { id: TargetId::from(id), born: 1, domain: DomainId::from(domain) }
+        };
         self.feed(Event::Targets(names.iter().map(place).collect()));
     }
 
@@ -85,6 +89,7 @@
                 expires: self.now + Ms(10_000),
                 rank: 1,
                 bytes: KB,
+                home: None,
             };
             with(&mut piece);
             self.next += 1;
--- /dev/null
+++ b/crates/sched/tests/domains.rs
@@ -0,0 +1,53 @@
+//! Targets of a region in several failure domains.
+
+mod common;
+
+use base::{DomainId, Ms};
+use common::{Bench, shape};
+use sched::batch::Piece;
+
+fn at(domain: &'static str) -> impl Fn(&mut Piece) {
+    move |p| p.home = Some(DomainId::from(domain))
+}
+
+// Operators pay for results that cross failure domains: half of them do, since a request's stages go
+// to whichever target of the region is free.
+// A piece goes to a free target where its inputs lie.
+#[test]
+fn pieces_go_to_the_free_target_beside_their_inputs() {
+    let mut bench = Bench::new(shape(), &["a:east", "b:west"]);
+    for _ in 0..3 {
+        let call = bench.calls.len();
+        bench.submit("w", 3, at("west"));
+        bench.submit("e", 3, at("east"));
+        let targets: Vec<&str> = bench.calls[call..].iter().map(|c| c.1.as_str()).collect();
+        assert_eq!(targets, ["b", "a"]);
+        bench.finish(call, Ms(270));
+        bench.finish(call + 1, Ms(0));
+    }
+}
+
+// No target idles for it: a burst in one domain is served by the targets of both.
+#[test]
+fn a_burst_in_one_domain_fills_the_targets_of_both() {
+    let mut bench = Bench::new(shape(), &["a:east", "b:west"]);
+    bench.submit("r1", 8, at("west"));
+    bench.submit("r2", 8, at("west"));
+    let targets: Vec<&str> = bench.calls.iter().map(|c| c.1.as_str()).collect();
+    assert_eq!(targets, ["b", "a"]);
+}
+
+// Pieces whose own domain has lost its targets wait behind every piece of the other domain.
+// They wait for one call more than those, and no longer.
+#[test]
+fn pieces_of_a_domain_without_targets_are_not_starved() {
+    let mut bench = Bench::new(shape(), &["a:east"]);
+    bench.submit("first", 8, at("east"));
+    bench.submit("west", 8, at("west"));
+    for call in 0..4 {
+        bench.submit(&format!("east{call}"), 8, at("east"));
+        bench.finish(call, Ms(320));
+    }
+    let west = (0..bench.calls.len()).position(|call| bench.requests(call) == ["west"]);
+    assert!(west.is_some_and(|call| call <= 3), "{west:?}");
+}
--- a/crates/sched/tests/load.rs
+++ b/crates/sched/tests/load.rs
@@ -4,7 +4,7 @@
 //! piece, 14 pieces a call, four pieces a request. What is counted is the share of requests whose
 //! stage ends within 900 ms, about twice a full call.
 
-use base::{Ms, PoolId, TargetId};
+use base::{DomainId, Ms, PoolId, TargetId};
 use catalog::Batch;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -81,7 +81,9 @@
             asked: 0,
             in_time: 0,
         };
-        let places: Vec<Place> = (0..TARGETS).map(|t| Place { id: target(t), born: 1 }).collect();
+        let places: Vec<Place> = (0..TARGETS)
+            .map(|t| Place { id: target(t), born: 1, domain: DomainId::from("d") })
+            .collect();
         (0..hosts).for_each(|h| world.feed(h, Event::Targets(places.clone())));
         world
     }
@@ -137,6 +139,7 @@
             expires: self.now + Ms(8_000),
             rank: 1,
             bytes: 1,
+            home: None,
         };
         let pieces = (0..PIECES).map(|i| (PieceId(request * PIECES + i), piece(i))).collect();
         self.feed(host, Event::Submit(pieces));
--- a/crates/wire/src/gen/siskinwheel.v1.rs
+++ b/crates/wire/src/gen/siskinwheel.v1.rs
@@ -715,6 +715,9 @@
     /// Bytes of results that each piece reads.
     #[prost(uint64, tag = "13")]
     pub reads: u64,
+    /// Failure domain where most of what it reads lies, or its own results are read; empty for any.
+    #[prost(string, tag = "14")]
+    pub home: ::prost::alloc::string::String,
 }
 /// Results that are given up at the host that composed the calls that made them.
 #[derive(serde::Serialize, serde::Deserialize)]
