--- a/crates/sched/src/batch/mod.rs
+++ b/crates/sched/src/batch/mod.rs
@@ -30,7 +30,7 @@
 pub use target::{OVERDUE, OVERDUE_SLACK};
 pub use types::{CallEnd, CallId, Effect, Event, Piece, PieceEnd, PieceId, Place, Source};
 
-use base::{Ms, PoolId, TargetId};
+use base::{DomainId, Ms, PoolId, TargetId};
 use catalog::Batch;
 use std::collections::{BTreeMap, HashMap, HashSet};
 
@@ -128,7 +128,7 @@
     fn wait_behind(&self, now: Ms, ahead: usize) -> Option<Ms> {
         let mut free: Vec<Ms> =
             self.targets.values().filter(|t| t.usable(now)).map(|t| t.free_at(now)).collect();
-        let full = self.time(self.fill as usize);
+        let full = self.shape.time(self.fill as usize);
         for _ in 0..(ahead as f64 / self.fill.max(1.0)) as usize {
             let first = free.iter_mut().min()?;
             *first += full;
@@ -148,7 +148,7 @@
 
     /// Whether a piece will be late even in a call that begins now.
     fn is_late(&self, now: Ms, piece: &Piece) -> bool {
-        piece.due < now + self.time(1)
+        piece.due < now + self.shape.time(1)
     }
 
     /// Ends late pieces that won't get into a call while they are of use.
@@ -166,7 +166,7 @@
             late.pieces += 1;
             late.key.push(*id);
         }
-        let hopeless = self.late.hopeless(now, self.time(self.shape.size), waiting.into_values());
+        let hopeless = self.late.hopeless(now, self.shape.full(), waiting.into_values());
         hopeless.into_iter().flatten().for_each(|id| self.finish(id, PieceEnd::Late, out));
     }
 
@@ -192,10 +192,6 @@
         self.pieces.values().filter(|w| w.queued).count()
     }
 
-    fn time(&self, pieces: usize) -> Ms {
-        Ms((self.shape.call_ms + self.shape.item_ms * pieces as f64) as u64)
-    }
-
     fn submit(&mut self, now: Ms, pieces: Vec<(PieceId, Piece)>, out: &mut Vec<Effect>) {
         let requests: HashSet<&str> = pieces.iter().map(|(_, p)| &*p.request).collect();
         for _ in requests {
@@ -220,7 +216,10 @@
         for place in places {
             match self.targets.get(&place.id) {
                 Some(known) if known.born == place.born => {}
-                _ => drop(self.targets.insert(place.id.clone(), Target::new(place.born))),
+                _ => drop(
+                    self.targets
+                        .insert(place.id.clone(), Target::new(place.born, place.domain.clone())),
+                ),
             }
         }
     }
@@ -340,11 +339,16 @@
     }
 
     /// Gives every target that is free, or about to be, a call.
+    ///
+    /// Of the targets of a region a piece goes to one in the failure domain where its inputs lie, as
+    /// long as one is free there: results that cross domains are paid by volume. No target idles
+    /// for it.
     fn fill(&mut self, now: Ms, out: &mut Vec<Effect>) {
         let mut passed = HashSet::new();
         while self.pieces.values().any(|w| w.queued) {
             let Some(id) = self.free_target(now, &passed) else { return };
-            let pieces = self.choose(now, &id);
+            let others = self.free_domains(now, &passed, &id);
+            let pieces = self.choose(now, &id, &others);
             match pieces.is_empty() {
                 true => drop(passed.insert(id)),
                 false => self.call(now, id, pieces, out),
@@ -352,12 +356,29 @@
         }
     }
 
+    /// Failure domains in which other targets than `id` would take a call now.
+    fn free_domains(
+        &self,
+        now: Ms,
+        passed: &HashSet<TargetId>,
+        id: &TargetId,
+    ) -> HashSet<&DomainId> {
+        let free = |(name, t): &(&TargetId, &Target)| {
+            *name != id && self.takes(now, t) && !passed.contains(*name)
+        };
+        self.targets.iter().filter(free).map(|(_, t)| &t.domain).collect()
+    }
+
+    fn takes(&self, now: Ms, target: &Target) -> bool {
+        target.usable(now) && target.accepts(now, self.shape.slots)
+    }
+
     fn free_target(&self, now: Ms, passed: &HashSet<TargetId>) -> Option<TargetId> {
         let best = self.targets.values().filter(|t| t.usable(now)).map(Target::speed);
         let best = best.fold(f64::INFINITY, f64::min);
         let soonest = self.targets.values().filter(|t| t.usable(now) && !t.slow(best));
         let soonest = soonest.map(|t| t.free_at(now)).min();
-        let normal = self.time(self.shape.size);
+        let normal = self.shape.full();
         let worth = |t: &Target| match soonest {
             // A slow target is left alone while a normal one would end the same call sooner.
             Some(free) if t.slow(best) => {
@@ -365,9 +386,8 @@
             }
             _ => true,
         };
-        let takes = |id: &TargetId, t: &Target| {
-            t.usable(now) && t.accepts(now, self.shape.slots) && worth(t) && !passed.contains(id)
-        };
+        let takes =
+            |id: &TargetId, t: &Target| self.takes(now, t) && worth(t) && !passed.contains(id);
         let free = self.targets.iter().filter(|(id, t)| takes(id, t));
         free.min_by(|(_, a), (_, b)| {
             a.rank(now).partial_cmp(&b.rank(now)).unwrap_or(std::cmp::Ordering::Equal)
@@ -375,17 +395,20 @@
         .map(|(id, _)| id.clone())
     }
 
-    /// The pieces of the next call to a target.
-    fn choose(&self, now: Ms, id: &TargetId) -> Vec<PieceId> {
+    /// The pieces of the next call to a target, without those that a free one of `others` is for.
+    fn choose(&self, now: Ms, id: &TargetId, others: &HashSet<&DomainId>) -> Vec<PieceId> {
         let Some(target) = self.targets.get(id) else { return Vec::new() };
+        let far = |w: &Waiting| w.piece.home.as_ref().is_some_and(|home| *home != target.domain);
+        let for_other =
+            |w: &Waiting| far(w) && w.piece.home.as_ref().is_some_and(|h| others.contains(h));
         let queued: Vec<order::Queued<'_>> = self
             .pieces
             .iter()
-            .filter(|(_, w)| w.queued)
-            .map(|(id, w)| order::Queued { id: *id, piece: &w.piece, since: w.since })
+            .filter(|(_, w)| w.queued && !for_other(w))
+            .map(|(id, w)| order::Queued { id: *id, piece: &w.piece, since: w.since, far: far(w) })
             .collect();
         let count = queued.len().min(self.shape.size);
-        let call = target.scaled(self.time(count));
+        let call = target.scaled(self.shape.time(count));
         let end = target.free_at(now) + call;
         let room = self.shape.room.saturating_sub(target.kept(now));
         order::choose(queued, now, end, call, &self.shape, room)
@@ -402,7 +425,7 @@
         }
         self.next += 1;
         let call = CallId(self.next);
-        let time = Ms((self.shape.call_ms + self.shape.item_ms * ids.len() as f64) as u64);
+        let time = self.shape.time(ids.len());
         let mut pieces = Vec::with_capacity(ids.len());
         for piece in &ids {
             let Some(waiting) = self.pieces.get_mut(piece) else { continue };
