--- a/crates/peer/tests/calls.rs
+++ b/crates/peer/tests/calls.rs
@@ -107,7 +107,7 @@
 #[tokio::test]
 async fn a_call_on_a_connection_that_is_reset_is_sent_once_more() {
     let (listener, echo) = echo().await;
-    let (addr, reset) = resetting(listener.addr()).await;
+    let (addr, reset) = relay(listener.addr(), Fault::Reset).await;
     let wire = Wire::new(Ms::secs(5));
     assert!(wire.claim(addr, Claim::default()).await.is_ok());
     reset.store(true, Ordering::SeqCst);
@@ -116,76 +116,50 @@
     listener.close().await;
 }
 
-/// A relay that resets each connection that was open when it is told to, at the next bytes on it.
-async fn resetting(to: SocketAddr) -> (SocketAddr, Arc<AtomicBool>) {
+/// What a relay does with bytes on a connection that was open when its fault came.
+#[derive(Clone, Copy)]
+enum Fault {
+    /// It keeps the connection open and passes nothing on.
+    Silent,
+    /// It resets the connection.
+    Reset,
+}
+
+/// A relay with a fault that can be switched on. Only connections that are open then have it.
+async fn relay(to: SocketAddr, fault: Fault) -> (SocketAddr, Arc<AtomicBool>) {
     let listener = TcpListener::bind(local()).await.unwrap();
     let addr = listener.local_addr().unwrap();
-    let reset = Arc::new(AtomicBool::new(false));
-    let flag = reset.clone();
+    let faulty = Arc::new(AtomicBool::new(false));
+    let flag = faulty.clone();
     tokio::spawn(async move {
-        while let Ok((mut near, _)) = listener.accept().await {
+        while let Ok((near, _)) = listener.accept().await {
             flag.store(false, Ordering::SeqCst);
-            let flag = flag.clone();
-            tokio::spawn(async move {
-                let mut far = TcpStream::connect(to).await.unwrap();
-                let (mut up, mut down) = ([0; 4096], [0; 4096]);
-                loop {
-                    tokio::select! {
-                        n = near.read(&mut up) => match n {
-                            Ok(n) if n > 0 && !flag.load(Ordering::SeqCst) => {
-                                far.write_all(&up[..n]).await.unwrap();
-                            }
-                            _ => {
-                                let _ = near.set_zero_linger();
-                                return;
-                            }
-                        },
-                        n = far.read(&mut down) => match n {
-                            Ok(n) if n > 0 => near.write_all(&down[..n]).await.unwrap(),
-                            _ => return,
-                        },
-                    }
-                }
-            });
+            tokio::spawn(pass(near, to, fault, flag.clone()));
         }
     });
-    (addr, reset)
+    (addr, faulty)
 }
 
-/// A relay whose connections can be made to go silent: it keeps them open and passes nothing on.
-async fn relay(to: SocketAddr) -> (SocketAddr, Arc<AtomicBool>) {
-    let listener = TcpListener::bind(local()).await.unwrap();
-    let addr = listener.local_addr().unwrap();
-    let silent = Arc::new(AtomicBool::new(false));
-    let flag = silent.clone();
-    tokio::spawn(async move {
-        while let Ok((mut near, _)) = listener.accept().await {
-            // Only connections that are open when the fault comes are lost track of.
-            flag.store(false, Ordering::SeqCst);
-            let flag = flag.clone();
-            tokio::spawn(async move {
-                let mut far = TcpStream::connect(to).await.unwrap();
-                let (mut a, mut b) = ([0; 4096], [0; 4096]);
-                loop {
-                    tokio::select! {
-                        n = near.read(&mut a) => match n {
-                            Ok(n) if n > 0 => {
-                                if !flag.load(Ordering::SeqCst) {
-                                    far.write_all(&a[..n]).await.unwrap();
-                                }
-                            }
-                            _ => return,
-                        },
-                        n = far.read(&mut b) => match n {
-                            Ok(n) if n > 0 => near.write_all(&b[..n]).await.unwrap(),
-                            _ => return,
-                        },
-                    }
+async fn pass(mut near: TcpStream, to: SocketAddr, fault: Fault, faulty: Arc<AtomicBool>) {
+    let mut far = TcpStream::connect(to).await.unwrap();
+    let (mut up, mut down) = ([0; 4096], [0; 4096]);
+    loop {
+        tokio::select! {
+            n = near.read(&mut up) => match (n, faulty.load(Ordering::SeqCst), fault) {
+                (Ok(n), false, _) if n > 0 => far.write_all(&up[..n]).await.unwrap(),
+                (Ok(n), true, Fault::Silent) if n > 0 => {}
+                (Ok(n), true, Fault::Reset) if n > 0 => {
+                    near.set_zero_linger().unwrap();
+                    return;
                 }
-            });
+                _ => return,
+            },
+            n = far.read(&mut down) => match n {
+                Ok(n) if n > 0 => near.write_all(&down[..n]).await.unwrap(),
+                _ => return,
+            },
         }
-    });
-    (addr, silent)
+    }
 }
 
 /// The caller of a host sees one failed call and then answers again. Something between the two
@@ -194,7 +168,7 @@
 #[tokio::test]
 async fn a_kept_connection_that_goes_silent_is_replaced() {
     let (listener, _) = echo().await;
-    let (addr, silent) = relay(listener.addr()).await;
+    let (addr, silent) = relay(listener.addr(), Fault::Silent).await;
     let wire = Wire::new(Ms(400));
     wire.exchange(addr, Exchange::default()).await.unwrap();
     silent.store(true, Ordering::SeqCst);
