One host of a failure domain reads the platform's store for the others

Cause: each host read the configuration every 1.5 s, listed all targets every 15 s and watched them, so calls to the store grew with hosts and one change of a target woke 295 watches.

Change: hosts of a domain name a reader by rendezvous over the live hosts and ask it over tarpc for the configuration, changes of targets since a revision, and the age of its proof, which a host counts back from before it asked. A host that is asked reads, whoever it would name; one that gets no help passes the reader over, and reads itself only when two in a row can't be reached. Each host keeps the log of changes and can take over from where it is. A configuration whose text is the one read last isn't decoded again.

--- a/crates/catalog/src/freshness.rs
+++ b/crates/catalog/src/freshness.rs
@@ -44,6 +44,11 @@
         self.proved = self.proved.max(Some(sent));
     }
 
+    /// When the read was sent that is the last proof; none before the first.
+    pub fn proved(&self) -> Option<Ms> {
+        self.proved
+    }
+
     /// Age of the last proof, ms; none before the first.
     pub fn age(&self, now: Ms) -> Option<Ms> {
         self.proved.map(|at| now - at)
--- a/crates/catalog/src/registry.rs
+++ b/crates/catalog/src/registry.rs
@@ -15,7 +15,7 @@
 use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 
-use crate::{Entry, TargetState};
+use crate::{Entry, TargetState, Update};
 
 /// How long after the store's return a target that an outage may have unregistered is kept, ms.
 /// Live targets register again within about two seconds; the rest is for the list's own delay. A
@@ -54,6 +54,17 @@
     },
 }
 
+impl Seen {
+    /// One change; `lapse` as in [`Seen::Removed`].
+    pub fn update(update: Update, lapse: Option<Ms>) -> Self {
+        match update {
+            Update::Set(entry) => Self::Entry(entry),
+            Update::Malformed(id) => Self::Malformed(id),
+            Update::Removed(id) => Self::Removed { id, lapse },
+        }
+    }
+}
+
 /// What changed.
 #[derive(Clone, Debug, PartialEq)]
 pub enum RegistryEvent {
@@ -110,6 +121,26 @@
         out
     }
 
+    /// What a whole list says that isn't known here.
+    ///
+    /// A registration that only counts on is no change: each target renews its own all the time.
+    pub fn differs(&self, entries: &[Entry], names: &[TargetId]) -> Vec<Update> {
+        let readable: HashSet<&TargetId> = entries.iter().map(|e| &e.id).collect();
+        let listed: HashSet<&TargetId> = names.iter().collect();
+        let same = |a: &Entry, b: &Entry| {
+            let plain = |e: &Entry| Entry { seq: 0, warmup: Ms::ZERO, ..e.clone() };
+            plain(a) == plain(b)
+        };
+        let known = |e: &Entry| self.targets.get(&e.id).is_some_and(|t| same(&t.entry, e));
+        let new = entries.iter().filter(|e| !known(e)).cloned().map(Update::Set);
+        let gone = self.targets.keys().filter(|id| !readable.contains(id)).cloned();
+        let gone = gone.map(|id| match listed.contains(&id) {
+            true => Update::Malformed(id),
+            false => Update::Removed(id),
+        });
+        new.chain(gone).collect()
+    }
+
     /// All targets, those that drain included.
     pub fn targets(&self) -> impl Iterator<Item = &Arc<Target>> {
         self.targets.values()
--- a/crates/edge/src/composer/serve.rs
+++ b/crates/edge/src/composer/serve.rs
@@ -5,10 +5,12 @@
 use peer::StageServer;
 use std::sync::Arc;
 use wire::{
-    HostNews, StageFree, StageLoads, StageResults, StageWork, SubjectQuery, SubjectReaders,
+    HostNews, StageFree, StageLoads, StageResults, StageWork, StoreNews, StoreQuery, SubjectQuery,
+    SubjectReaders,
 };
 
 use super::Composer;
+use crate::shared;
 
 /// The composer, for other hosts.
 pub(crate) struct StageService(pub(crate) Arc<Composer>);
@@ -45,4 +47,8 @@
         let targets = self.0.core.directory().readers(&query.service, query.subject);
         SubjectReaders { targets }
     }
+
+    async fn store(&self, query: StoreQuery) -> StoreNews {
+        shared::answer(&self.0.core, query).await
+    }
 }
--- a/crates/edge/src/core.rs
+++ b/crates/edge/src/core.rs
@@ -2,7 +2,10 @@
 
 use arc_swap::{ArcSwap, ArcSwapOption, Guard};
 use base::{Clock, DomainId, Ms, TargetId};
-use catalog::{Catalog, Freshness, Limits, Proof, Registry, RegistryEvent, Seen};
+use catalog::{
+    Catalog, ChangeLog, Entry, Freshness, Limits, Missing, Proof, Registry, RegistryEvent, Seen,
+    Update,
+};
 use logs::note;
 use sched::budget::{Allowance, Budget};
 use sched::directory::Directory;
@@ -10,22 +13,35 @@
 use sched::place::Distance;
 use sched::poison::Poison;
 use sched::sample::Sampler;
+use sched::source::Sources;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use tokio::sync::watch;
 
 use crate::choose;
 use crate::dialect::Dialect;
+use crate::directory::Declared;
 use crate::links::{Link, Links};
 use crate::members::Members;
 use crate::metrics::Metrics;
 use crate::pulse::Pulses;
 use crate::settings::Settings;
+use crate::shared::Packed;
 
 /// What follows from the platform's store.
 struct Known {
     registry: Registry,
     freshness: Freshness,
+    /// Changes of the registry, for hosts that follow this one.
+    log: ChangeLog,
+    /// Until when missing targets count as lapsed in an outage of the store.
+    lapse: Ms,
+}
+
+impl Known {
+    fn lapse(&self, now: Ms) -> Option<Ms> {
+        (self.lapse > now).then_some(self.lapse)
+    }
 }
 
 /// The shared state.
@@ -39,13 +55,20 @@
     /// Changes when targets or the configuration do.
     pub(crate) moved: watch::Sender<()>,
     settings: ArcSwap<Settings>,
-    catalog: ArcSwapOption<Catalog>,
+    declared: ArcSwapOption<Declared>,
+    /// The declarations as they go to other hosts.
+    pub(crate) packed: Packed,
     links: ArcSwap<Links>,
     known: Mutex<Known>,
     budget: Mutex<Budget>,
     poison: Mutex<Poison>,
     estimate: Mutex<Estimate>,
     directory: Mutex<Directory>,
+    sources: Mutex<Sources>,
+    /// Whether this host reads the store itself.
+    reading: watch::Sender<bool>,
+    /// Changes when a read has proved the configuration.
+    proofs: watch::Sender<()>,
     sampler: Mutex<Sampler>,
     distrust: Mutex<Distrust>,
     stopping: AtomicBool,
@@ -54,6 +77,10 @@
     draws: AtomicU64,
 }
 
+/// Part of the time after which a key that was taken away must not work, percent, after which a
+/// proof is too old for a host that still reaches the store: two reads, one of them slow. What is
+/// left is time to ask another.
+const BLIND: u64 = 40;
 /// Time within which connections of several targets that go silent have one cause, ms.
 const SILENT_TOGETHER: Ms = Ms(3_000);
 
@@ -94,7 +121,12 @@
         metrics: Metrics,
     ) -> Self {
         let revoke = settings.bounds.revoke_strict.then_some(settings.bounds.revoke_ms);
-        let known = Known { registry: Registry::default(), freshness: Freshness::new(revoke) };
+        let known = Known {
+            registry: Registry::default(),
+            freshness: Freshness::new(revoke),
+            log: ChangeLog::default(),
+            lapse: Ms::ZERO,
+        };
         Self {
             dialect,
             metrics,
@@ -108,12 +140,16 @@
             ])),
             clock,
             settings: ArcSwap::from_pointee(settings),
-            catalog: ArcSwapOption::empty(),
+            declared: ArcSwapOption::empty(),
+            packed: Packed::default(),
             links: ArcSwap::from_pointee(Links::default()),
             known: Mutex::new(known),
             poison: Mutex::default(),
             estimate: Mutex::default(),
             directory: Mutex::default(),
+            sources: Mutex::default(),
+            reading: watch::Sender::new(true),
+            proofs: watch::Sender::new(()),
             sampler: Mutex::default(),
             distrust: Mutex::default(),
             stopping: AtomicBool::new(false),
@@ -133,11 +169,16 @@
     }
 
     pub(crate) fn catalog(&self) -> Option<Arc<Catalog>> {
-        self.catalog.load_full()
+        self.declared.load().as_ref().map(|d| d.catalog.clone())
+    }
+
+    /// The declarations in force, with their text.
+    pub(crate) fn declared(&self) -> Option<Arc<Declared>> {
+        self.declared.load_full()
     }
 
     pub(crate) fn limits(&self) -> Limits {
-        self.catalog.load().as_ref().map(|c| c.limits.clone()).unwrap_or_default()
+        self.declared.load().as_ref().map(|d| d.catalog.limits.clone()).unwrap_or_default()
     }
 
     pub(crate) fn links(&self) -> Guard<Arc<Links>> {
@@ -176,6 +217,27 @@
         lock(&self.directory)
     }
 
+    /// Which hosts read the store.
+    pub(crate) fn sources(&self) -> MutexGuard<'_, Sources> {
+        lock(&self.sources)
+    }
+
+    /// Whether this host reads the store itself from now on.
+    pub(crate) fn set_reading(&self, reads: bool) {
+        let changed =
+            self.reading.send_if_modified(|reading| std::mem::replace(reading, reads) != reads);
+        match reads {
+            _ if !changed => {}
+            true => note!(logs::Event::ReadingBegun),
+            false => note!(logs::Event::ReadingEnded),
+        }
+    }
+
+    /// Whether this host reads the store itself, and changes of that.
+    pub(crate) fn reading(&self) -> watch::Receiver<bool> {
+        self.reading.subscribe()
+    }
+
     /// Whether a success gets a log line, and for how many it stands. A late one always does, for
     /// none but itself where the sample passes over it: callers complain of it as of a failure.
     pub(crate) fn sample(&self, late: bool) -> Option<u64> {
@@ -201,24 +263,46 @@
         base::hash_parts(&[&n.to_le_bytes()])
     }
 
-    /// A read that can't be stale was sent at `sent`, and `catalog` was the newest.
-    pub(crate) fn take_catalog(&self, sent: Ms, catalog: Option<&Arc<Catalog>>) {
-        lock(&self.known).freshness.prove(sent);
-        let Some(catalog) = catalog else { return };
-        let held = self.catalog.load().as_ref().map(|c| c.version);
-        match held {
-            Some(version) if version >= catalog.version => {}
-            _ => {
-                note!(
-                    logs::Event::ConfigInForce,
-                    version = catalog.version,
-                    before = held,
-                    age_ms = (self.clock.now() - sent).0
-                );
-                self.catalog.store(Some(catalog.clone()));
-                self.moved.send_replace(());
-            }
+    /// A read that can't be stale was sent at `sent`, and `found` was the newest.
+    pub(crate) fn take_catalog(&self, sent: Ms, found: Option<&Declared>) {
+        self.prove(sent);
+        let Some(found) = found else { return };
+        let version = found.catalog.version;
+        let held = self.version();
+        if held.is_some_and(|held| held >= version) {
+            return;
         }
+        note!(
+            logs::Event::ConfigInForce,
+            version,
+            before = held,
+            age_ms = (self.clock.now() - sent).0
+        );
+        self.declared.store(Some(Arc::new(found.clone())));
+        self.moved.send_replace(());
+    }
+
+    /// Version of the declarations in force; none before the first.
+    pub(crate) fn version(&self) -> Option<u64> {
+        self.declared.load().as_ref().map(|d| d.catalog.version)
+    }
+
+    /// A read that can't be stale was sent at `sent`, and nothing newer was found than what is held.
+    pub(crate) fn prove(&self, sent: Ms) {
+        lock(&self.known).freshness.prove(sent);
+        self.proofs.send_replace(());
+    }
+
+    /// Changes when a read has proved the configuration.
+    pub(crate) fn proofs(&self) -> watch::Receiver<()> {
+        self.proofs.subscribe()
+    }
+
+    /// Whether the newest proof is older than it may be on a host that the store, or one that reads
+    /// it, answers.
+    pub(crate) fn blind(&self) -> bool {
+        let most = self.settings().bounds.revoke_ms.scale(BLIND, 100);
+        self.proof_age().is_none_or(|age| age > most)
     }
 
     /// Whether keys may be served now.
@@ -226,19 +310,66 @@
         lock(&self.known).freshness.check(self.clock.now())
     }
 
+    /// When the last read was sent that proves the configuration; none before the first.
+    pub(crate) fn proved(&self) -> Option<Ms> {
+        lock(&self.known).freshness.proved()
+    }
+
     /// Age of the last read that proves the configuration; none before the first.
     pub(crate) fn proof_age(&self) -> Option<Ms> {
         lock(&self.known).freshness.age(self.clock.now())
     }
 
-    /// Takes what was read of the targets.
-    pub(crate) fn learn(&self, seen: Seen) {
+    /// The store's revision up to which the targets are known; none before the first list.
+    pub(crate) fn revision(&self) -> Option<u64> {
+        lock(&self.known).log.revision()
+    }
+
+    /// Until `until`, targets that are missing count as lapsed.
+    pub(crate) fn lapsed(&self, until: Ms) {
+        let mut known = lock(&self.known);
+        known.lapse = known.lapse.max(until);
+    }
+
+    /// Time for which missing targets still count as lapsed.
+    pub(crate) fn lapse_rest(&self) -> Ms {
+        lock(&self.known).lapse - self.clock.now()
+    }
+
+    /// Takes the list of all targets. `names` are also those of entries that can't be read.
+    pub(crate) fn take_list(&self, revision: u64, entries: Vec<Entry>, names: Vec<TargetId>) {
         let now = self.clock.now();
         let mut known = lock(&self.known);
-        let events = known.registry.learn(now, seen);
+        let updates = known.registry.differs(&entries, &names);
+        known.log.append(revision, updates);
+        let lapse = known.lapse(now);
+        let events = known.registry.learn(now, Seen::List { entries, names, lapse });
         self.note(&mut known, events);
     }
 
+    /// Takes all changes of targets up to `revision`.
+    pub(crate) fn take_updates(&self, revision: u64, updates: Vec<Update>) {
+        let now = self.clock.now();
+        let mut known = lock(&self.known);
+        known.log.append(revision, updates.clone());
+        let lapse = known.lapse(now);
+        let mut events = Vec::new();
+        for update in updates {
+            events.extend(known.registry.learn(now, Seen::update(update, lapse)));
+        }
+        self.note(&mut known, events);
+    }
+
+    /// What a host lacks that knows the targets up to `revision`.
+    pub(crate) fn missing(&self, revision: u64) -> Missing {
+        lock(&self.known).log.since(revision)
+    }
+
+    /// All targets that are registered, as far as is known.
+    pub(crate) fn entries(&self) -> Vec<Entry> {
+        lock(&self.known).registry.targets().map(|t| t.entry.clone()).collect()
+    }
+
     /// Drops targets whose registration lapsed and didn't come back.
     pub(crate) fn expire(&self) {
         let mut known = lock(&self.known);
@@ -265,8 +396,8 @@
     /// Whether the platform should send callers here: there is a configuration, it is known to be
     /// current, there are targets, and the host isn't stopping.
     pub(crate) fn ready(&self) -> bool {
-        let current = match self.catalog.load().as_ref() {
-            Some(catalog) if catalog.needs_keys() => self.proof() == Proof::Current,
+        let current = match self.declared.load().as_ref() {
+            Some(declared) if declared.catalog.needs_keys() => self.proof() == Proof::Current,
             Some(_) => true,
             None => false,
         };
--- a/crates/edge/src/directory.rs
+++ b/crates/edge/src/directory.rs
@@ -2,6 +2,7 @@
 
 use async_trait::async_trait;
 use base::{Ms, TargetId};
+use bytes::Bytes;
 use catalog::{Catalog, Entry};
 use std::sync::Arc;
 use thiserror::Error;
@@ -19,11 +20,20 @@
     Targets,
 }
 
+/// Declarations, read and as they are written.
+#[derive(Clone, Debug)]
+pub struct Declared {
+    /// What they say.
+    pub catalog: Arc<Catalog>,
+    /// Their text, which [`Directory::declared`] reads again on another host.
+    pub text: Bytes,
+}
+
 /// What a record holds.
 #[derive(Clone, Debug)]
 pub enum RecordBody {
     /// The declarations in force.
-    Catalog(Arc<Catalog>),
+    Catalog(Declared),
     /// One target.
     Target(Entry),
     /// It can't be used; the reason is for the log.
@@ -94,4 +104,7 @@
     /// Waits up to `wait` for changes after `since`.
     async fn watch(&self, kind: Kind, since: Revision, wait: Ms)
     -> Result<Updates, DirectoryError>;
+
+    /// Reads declarations whose text another host has read.
+    fn declared(&self, text: Bytes) -> Result<Declared, DirectoryError>;
 }
--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -1,25 +1,26 @@
-//! Follows what is declared and registered at the platform.
+//! Reads what is declared and registered at the platform, while this host is one that reads; the
+//! others ask it, see [`crate::source`].
 //!
 //! The configuration is read whole again and again: each answer proves that what is held is the
 //! newest, which a watch that says nothing doesn't. Targets are watched, since their list is long
 //! and changes often; a watch that ends early, or a history that is forgotten, means to list again.
 
-use base::{Ms, TargetId};
-use catalog::{Catalog, Entry, LAPSE_GRACE, Proof, Seen};
+use base::Ms;
+use catalog::{LAPSE_GRACE, Proof, Update};
 use logs::note;
 use std::sync::Arc;
 
 use crate::core::Core;
 use crate::directory::{
-    Change, Directory, DirectoryError, Kind, Record, RecordBody, Revision, Updates,
+    Change, Declared, Directory, DirectoryError, Kind, Record, RecordBody, Revision, Updates,
 };
 
 /// Part of the time in which a change must be in force after which the configuration is read again,
 /// percent: a read that is lost, and [`SILENCE`], still fit. Each call is paid for.
 const READ_SHARE: u64 = 60;
-/// The same of the time after which a key that was taken away must not work, percent: two reads in
-/// a row may be lost before the proof is too old.
-const PROOF_SHARE: u64 = 30;
+/// The same of the time after which a key that was taken away must not work, percent: hosts that
+/// follow this one hear of the proof later, and may lose a call.
+const PROOF_SHARE: u64 = 20;
 /// Wait for an answer of the store, ms: sixty times its usual time.
 const SILENCE: Ms = Ms(700);
 /// What is left of the time in which a leaving target must get nothing new when a watch ends, ms:
@@ -41,8 +42,12 @@
 pub(crate) async fn catalog(core: Arc<Core>, directory: Arc<dyn Directory>) {
     let mut pause = Pause::default();
     let mut proved = true;
+    let mut reading = core.reading();
     loop {
+        // The sender lives in `core`, so the wait can't fail.
+        let _ = reading.wait_for(|reads| *reads).await;
         let sent = core.clock.now();
+        core.metrics.store_call("read");
         match read_catalog(directory.as_ref()).await {
             Ok(found) => {
                 pause.good();
@@ -86,15 +91,14 @@
     }
 }
 
-async fn read_catalog(directory: &dyn Directory) -> Result<Option<Arc<Catalog>>, DirectoryError> {
+async fn read_catalog(directory: &dyn Directory) -> Result<Option<Declared>, DirectoryError> {
     let page = within(SILENCE, directory.list(Kind::Catalog, None)).await?;
-    let mut newest: Option<Arc<Catalog>> = None;
+    let mut newest: Option<Declared> = None;
     for record in page.records {
         match record.body {
-            RecordBody::Catalog(c) if newest.as_ref().is_none_or(|n| n.version < c.version) => {
-                newest = Some(c);
+            RecordBody::Catalog(found) => {
+                newest = newest.into_iter().chain([found]).max_by_key(|d| d.catalog.version);
             }
-            RecordBody::Catalog(_) => {}
             RecordBody::Target(_) => {}
             RecordBody::Malformed(why) => {
                 note!(logs::Event::ConfigRefused, name = %record.name, why);
@@ -109,10 +113,16 @@
 pub(crate) async fn targets(core: Arc<Core>, directory: Arc<dyn Directory>) {
     let mut outage = Outage::default();
     let mut pause = Pause::default();
+    let mut reading = core.reading();
     loop {
-        let Err(err) = follow(&core, directory.as_ref(), &mut pause, &mut outage).await else {
-            continue;
+        // The sender lives in `core`, so the waits can't fail.
+        let _ = reading.wait_for(|reads| *reads).await;
+        let mut ended = core.reading();
+        let result = tokio::select! {
+            result = follow(&core, directory.as_ref(), &mut pause, &mut outage) => result,
+            _ = ended.wait_for(|reads| !*reads) => Ok(()),
         };
+        let Err(err) = result else { continue };
         outage.failed(&err);
         pause.bad(&err, "targets");
         core.expire();
@@ -124,7 +134,6 @@
 #[derive(Default)]
 struct Outage {
     open: bool,
-    returned: Option<Ms>,
 }
 
 impl Outage {
@@ -133,59 +142,74 @@
         self.open |= *err != DirectoryError::Forgotten;
     }
 
-    fn answered(&mut self, now: Ms) {
-        if std::mem::take(&mut self.open) {
-            self.returned = Some(now);
-        }
-    }
-
-    /// Until when what is missing counts as lapsed.
-    fn lapse(&self) -> Option<Ms> {
-        self.returned.map(|at| at + LAPSE_GRACE)
+    /// The store answers: until when what is missing counts as lapsed, if it was away before.
+    fn answered(&mut self, now: Ms) -> Option<Ms> {
+        std::mem::take(&mut self.open).then_some(now + LAPSE_GRACE)
     }
 }
 
-/// Lists and watches until it is time to list again, or a call fails.
+/// Watches, and lists what isn't known or hasn't been listed for long, until a call fails.
+///
+/// Who reads changes with the live hosts; one that takes over goes on from the revision up to which
+/// it was told.
 async fn follow(
     core: &Core,
     directory: &dyn Directory,
     pause: &mut Pause,
     outage: &mut Outage,
 ) -> Result<(), DirectoryError> {
-    let (records, mut since) = list(directory).await?;
-    pause.good();
-    outage.answered(core.clock.now());
-    core.learn(seen(records, outage.lapse()));
-    let end = core.clock.now() + LIST_EVERY;
-    while core.clock.now() < end {
+    let mut list_at = core.clock.now() + LIST_EVERY;
+    loop {
         let wait = watch_wait(core);
-        let watch = directory.watch(Kind::Targets, since, wait);
-        let Updates { changes, revision } = within(wait + SILENCE, watch).await?;
-        since = revision;
-        let changed = !changes.is_empty();
-        for change in changes {
-            core.learn(match change {
-                Change::Removed(id) => Seen::Removed { id, lapse: outage.lapse() },
-                Change::Set(record) => match entry(record) {
-                    Ok(entry) => Seen::Entry(entry),
-                    Err(id) => Seen::Malformed(id),
-                },
+        let since = core.revision().filter(|_| !outage.open && core.clock.now() < list_at);
+        let Some(since) = since else {
+            let (records, revision) = list(core, directory).await?;
+            pause.good();
+            let lapse = outage.answered(core.clock.now());
+            lapse.into_iter().for_each(|until| core.lapsed(until));
+            let names = records.iter().map(|r| r.name.clone()).collect();
+            let entries = records.into_iter().filter_map(|r| match update(r) {
+                Update::Set(entry) => Some(entry),
+                Update::Malformed(_) | Update::Removed(_) => None,
             });
-        }
+            core.take_list(revision.0, entries.collect(), names);
+            list_at = core.clock.now() + LIST_EVERY;
+            continue;
+        };
+        let watch = directory.watch(Kind::Targets, Revision(since), wait);
+        core.metrics.store_call("watch");
+        let watched = within(wait + SILENCE, watch).await;
+        let Updates { changes, revision } = match watched {
+            Err(DirectoryError::Forgotten) => {
+                list_at = core.clock.now();
+                continue;
+            }
+            watched => watched?,
+        };
+        pause.good();
+        let changed = !changes.is_empty();
+        let updates = changes.into_iter().map(|change| match change {
+            Change::Removed(id) => Update::Removed(id),
+            Change::Set(record) => update(record),
+        });
+        core.take_updates(revision.0, updates.collect());
         core.expire();
         if changed {
             tokio::time::sleep(GROUP.duration()).await;
         }
     }
-    Ok(())
 }
 
-async fn list(directory: &dyn Directory) -> Result<(Vec<Record>, Revision), DirectoryError> {
+async fn list(
+    core: &Core,
+    directory: &dyn Directory,
+) -> Result<(Vec<Record>, Revision), DirectoryError> {
     let mut records = Vec::new();
     let mut after: Option<String> = None;
     let mut first = None;
     loop {
         let list = directory.list(Kind::Targets, after.as_deref());
+        core.metrics.store_call("list");
         let page = within(SILENCE, list).await?;
         records.extend(page.records);
         // Changes between two pages come again with the watch.
@@ -197,19 +221,13 @@
     }
 }
 
-fn seen(records: Vec<Record>, lapse: Option<Ms>) -> Seen {
-    let names = records.iter().map(|r| r.name.clone()).collect();
-    let entries = records.into_iter().filter_map(|r| entry(r).ok()).collect();
-    Seen::List { entries, names, lapse }
-}
-
-fn entry(record: Record) -> Result<Entry, TargetId> {
+fn update(record: Record) -> Update {
     match record.body {
-        RecordBody::Target(entry) => Ok(entry),
-        RecordBody::Catalog(_) => Err(record.name),
+        RecordBody::Target(entry) => Update::Set(entry),
+        RecordBody::Catalog(_) => Update::Malformed(record.name),
         RecordBody::Malformed(why) => {
             note!(logs::Event::EntryMalformed, target = %record.name, why);
-            Err(record.name)
+            Update::Malformed(record.name)
         }
     }
 }
--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -22,7 +22,7 @@
 use crate::members::{self, Members};
 use crate::metrics::Metrics;
 use crate::settings::Settings;
-use crate::{accept, follow, reload, tell};
+use crate::{accept, follow, reload, source, tell};
 
 /// Time for which a stopping host goes on taking requests, ms: the platform asks every second, and
 /// sends nobody any more after two answers that the host isn't ready.
@@ -121,7 +121,8 @@
         });
         let tasks = vec![
             tokio::spawn(follow::catalog(core.clone(), directory.clone())),
-            tokio::spawn(follow::targets(core.clone(), directory)),
+            tokio::spawn(follow::targets(core.clone(), directory.clone())),
+            tokio::spawn(source::follow(core.clone(), directory)),
             tokio::spawn(reload::follow(core.clone(), path, changed)),
             tokio::spawn(composer.watch_far()),
             tokio::spawn(tell::crashes(core.clone(), told.crashes)),
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -8,7 +8,8 @@
 //!                        |          ^
 //!                        v          |
 //!                     stages -> composer (this host's or a peer's) -> links -> stage target
-//! follow: Directory -> catalog and registry            members: peers over tarpc
+//! follow: Directory -> catalog and registry <- source: another host that reads the store
+//! members: peers over tarpc
 //! ```
 
 mod accept;
@@ -34,6 +35,8 @@
 mod results;
 mod send;
 mod settings;
+mod shared;
+mod source;
 mod stages;
 mod stream;
 mod subjects;
@@ -42,7 +45,7 @@
 
 pub use dialect::{AnswerHead, Ask, AskError, Dialect, Load, Onward, PromptPart, StageCall};
 pub use directory::{
-    Change, Directory, DirectoryError, Kind, Page, Record, RecordBody, Revision, Updates,
+    Change, Declared, Directory, DirectoryError, Kind, Page, Record, RecordBody, Revision, Updates,
 };
 pub use events::{EventStream, Taken};
 pub use host::{Host, HostError, Stopped};
--- a/crates/edge/src/members.rs
+++ b/crates/edge/src/members.rs
@@ -89,6 +89,11 @@
         self.peers.clone()
     }
 
+    /// This host's name.
+    pub(crate) fn me(&self) -> &HostId {
+        &self.me
+    }
+
     /// Live hosts, this one included.
     pub(crate) fn hosts(&self) -> Arc<[ViewHost]> {
         self.view.hosts()
@@ -113,6 +118,16 @@
         self.pick(&subject.to_le_bytes(), |_| true)
     }
 
+    /// The host that reads the platform's store for a failure domain, among those that `fits` lets
+    /// pass.
+    pub(crate) fn reader(
+        &self,
+        domain: &DomainId,
+        fits: impl Fn(&HostId) -> bool,
+    ) -> Option<Owner> {
+        self.pick(domain.as_str().as_bytes(), |h| h.domain == *domain && fits(&h.host))
+    }
+
     /// The host that all name for `key`, among those that are alive and fit.
     fn pick(&self, key: &[u8], fits: impl Fn(&ViewHost) -> bool) -> Option<Owner> {
         let hosts = self.view.hosts();
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -23,6 +23,7 @@
     calls: Histogram<u64>,
     passed: Counter<u64>,
     connections: Counter<u64>,
+    store: Counter<u64>,
 }
 
 impl Metrics {
@@ -43,6 +44,7 @@
             errors: meter.u64_histogram("edge_prediction_error_ms").build(),
             calls: meter.u64_histogram("edge_call_pieces").build(),
             passed: meter.u64_counter("edge_passed_on").build(),
+            store: meter.u64_counter("edge_store_calls").build(),
             connections: meter.u64_counter("edge_connections_refused").build(),
             provider,
         })
@@ -85,6 +87,11 @@
         self.calls.record(pieces as u64, &[KeyValue::new("service", service.to_owned())]);
     }
 
+    /// The platform's store was called: `read` of the configuration, `list` or `watch` of targets.
+    pub(crate) fn store_call(&self, call: &'static str) {
+        self.store.add(1, &[KeyValue::new("call", call)]);
+    }
+
     /// A stage was passed on to another region.
     pub(crate) fn passed_on(&self, service: &str) {
         self.passed.add(1, &[KeyValue::new("service", service.to_owned())]);
--- /dev/null
+++ b/crates/edge/src/source.rs
@@ -0,0 +1,118 @@
+//! Follows the host of the failure domain that reads the platform's store; see [`sched::source`].
+
+use base::{HostId, Ms};
+use logs::note;
+use sched::source::SourceFault;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use wire::StoreQuery;
+
+use crate::core::Core;
+use crate::directory::Directory;
+use crate::members::Owner;
+use crate::shared;
+
+/// Time from the start until a host asks others, ms: by then it knows them. Asked sooner, each of
+/// a fleet that starts at once would name another reader.
+const SETTLE: Ms = Ms(1_000);
+/// Part of the time after which a key that was taken away must not work that a query waits for
+/// news, percent. With it goes the time between two reads and one query that is lost.
+const WAIT_KEYS: u64 = 20;
+/// The same of the time in which a leaving target must get nothing new: two readers in a row may
+/// be lost.
+const WAIT_TARGETS: u64 = 24;
+/// Time between looks at who reads, while it is this host, ms.
+const LOOK: Ms = Ms(250);
+
+/// What a host does next.
+enum Next {
+    /// Nothing; it reads the store itself, or has just begun.
+    Rest,
+    /// Asks another.
+    Ask(HostId, SocketAddr),
+}
+
+/// Keeps what is known of the store current by asking whoever reads it.
+pub(crate) async fn follow(core: Arc<Core>, directory: Arc<dyn Directory>) {
+    let begun = core.clock.now();
+    loop {
+        let next = match core.clock.now() - begun < SETTLE {
+            true => settle(&core),
+            false => next(&core),
+        };
+        match next {
+            Next::Rest => tokio::time::sleep(LOOK.duration()).await,
+            Next::Ask(host, addr) => ask(&core, directory.as_ref(), &host, addr).await,
+        }
+        core.expire();
+    }
+}
+
+/// A host that has just started reads until it holds all, and then waits for word of the others.
+fn settle(core: &Core) -> Next {
+    core.set_reading(!loaded(core) || core.sources().reads(core.clock.now()));
+    Next::Rest
+}
+
+fn loaded(core: &Core) -> bool {
+    core.version().is_some() && core.revision().is_some()
+}
+
+fn next(core: &Core) -> Next {
+    let now = core.clock.now();
+    let named = named(core, now);
+    if matches!(named, Some(Owner::Me)) && core.blind() {
+        // The store turns this host away, or it is cut off: another may still be served.
+        core.sources().failed(now, core.members.me(), SourceFault::Blind);
+    }
+    let asked = core.sources().reads(now);
+    match named {
+        Some(Owner::Peer { host, addr }) => {
+            core.set_reading(asked || !loaded(core));
+            Next::Ask(host, addr)
+        }
+        Some(Owner::Me) | None => {
+            core.set_reading(true);
+            Next::Rest
+        }
+    }
+}
+
+/// The host that is named to read, of those that have not failed lately.
+fn named(core: &Core, now: Ms) -> Option<Owner> {
+    let sources = core.sources();
+    core.members.reader(&core.settings().domain, |host| sources.fits(now, host))
+}
+
+fn wait(core: &Core) -> Ms {
+    let bounds = &core.settings().bounds;
+    bounds.revoke_ms.scale(WAIT_KEYS, 100).min(bounds.drain_ms.scale(WAIT_TARGETS, 100))
+}
+
+async fn ask(core: &Arc<Core>, directory: &dyn Directory, host: &HostId, addr: SocketAddr) {
+    let query = StoreQuery {
+        version: core.version().unwrap_or_default(),
+        revision: core.revision().unwrap_or_default(),
+        wait_ms: wait(core).0,
+        urgent: core.blind(),
+    };
+    let sent = core.clock.now();
+    let answer = core.members.peers().store(addr, query).await;
+    let now = core.clock.now();
+    match answer {
+        Err(err) => {
+            note!(logs::Event::PeerFailed, host = %host, call = "store", why = %err);
+            core.sources().failed(now, host, SourceFault::Unreachable);
+        }
+        Ok(news) => {
+            if let Err(err) = shared::take(core, directory, sent, news) {
+                note!(logs::Event::PeerFailed, host = %host, call = "store", why = %err);
+                core.sources().failed(now, host, SourceFault::Blind);
+            } else if core.blind() {
+                core.sources().failed(now, host, SourceFault::Blind);
+            } else {
+                core.sources().helped();
+            }
+        }
+    }
+}
--- a/crates/logs/src/event.rs
+++ b/crates/logs/src/event.rs
@@ -98,6 +98,9 @@
     ProofLost = 508, Warn, "The host can't prove that keys are still good; it refuses requests with keys.";
     ProofBack = 509, Info, "The host can prove again that keys are good.";
     WatchLost = 510, Info, "A watch of the platform's store ended early; the list is read again.";
+    ConfigWithheld = 511, Error, "The configuration could not be packed for other hosts, which go on to another that reads.";
+    ReadingBegun = 512, Info, "The host reads the platform's store itself.";
+    ReadingEnded = 513, Info, "The host follows another that reads the platform's store.";
     PeerJoined = 600, Info, "A host was heard of for the first time.";
     PeerLost = 601, Warn, "A host has not been heard of for too long.";
     PeerLeaving = 602, Info, "A host is stopping.";
--- a/crates/peer/src/api.rs
+++ b/crates/peer/src/api.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use wire::{
     Claim, Exchange, Finish, Grant, HostNews, StageFree, StageLoads, StageResults, StageWork,
-    SubjectQuery, SubjectReaders,
+    StoreNews, StoreQuery, SubjectQuery, SubjectReaders,
 };
 
 use crate::PeerError;
@@ -98,6 +98,10 @@
         to: SocketAddr,
         query: SubjectQuery,
     ) -> Result<SubjectReaders, PeerError>;
+
+    /// Asks what a host knows of the platform's store. It answers once it has news, and after
+    /// `query.wait_ms` at the latest.
+    async fn store(&self, to: SocketAddr, query: StoreQuery) -> Result<StoreNews, PeerError>;
 }
 
 /// Composes stage calls for other hosts.
@@ -117,4 +121,8 @@
 
     /// Engines that have read a subject.
     async fn readers(&self, query: SubjectQuery) -> SubjectReaders;
+
+    /// What this host knows of the platform's store, once there is something that the asker
+    /// lacks, and after `query.wait_ms` at the latest.
+    async fn store(&self, query: StoreQuery) -> StoreNews;
 }
--- a/crates/peer/src/listener.rs
+++ b/crates/peer/src/listener.rs
@@ -15,7 +15,7 @@
 use tokio::task::{JoinHandle, JoinSet};
 use wire::{
     Claim, Exchange, Finish, Grant, HostNews, StageFree, StageLoads, StageResults, StageWork,
-    SubjectQuery, SubjectReaders,
+    StoreNews, StoreQuery, SubjectQuery, SubjectReaders,
 };
 
 use crate::Serves;
@@ -50,6 +50,8 @@
     async fn news(news: HostNews);
     /// See [`crate::StageServer::readers`].
     async fn readers(query: SubjectQuery) -> Option<SubjectReaders>;
+    /// See [`crate::StageServer::store`].
+    async fn store(query: StoreQuery) -> Option<StoreNews>;
 }
 
 #[derive(Clone)]
@@ -118,6 +120,11 @@
         self.touch();
         Some(self.serves.stages()?.readers(query).await)
     }
+
+    async fn store(self, _: Context, query: StoreQuery) -> Option<StoreNews> {
+        self.touch();
+        Some(self.serves.stages()?.store(query).await)
+    }
 }
 
 /// A port for other hosts that isn't served yet.
--- a/crates/peer/src/wire_peers.rs
+++ b/crates/peer/src/wire_peers.rs
@@ -15,7 +15,7 @@
 use tokio::time::timeout;
 use wire::{
     Claim, Exchange, Finish, Grant, HostNews, StageFree, StageLoads, StageResults, StageWork,
-    SubjectQuery, SubjectReaders,
+    StoreNews, StoreQuery, SubjectQuery, SubjectReaders,
 };
 
 use crate::listener::{FRAME_BYTES, PeerServiceClient};
@@ -260,4 +260,13 @@
         };
         self.call(to, call).await?.ok_or(PeerError::Refused)
     }
+
+    async fn store(&self, to: SocketAddr, query: StoreQuery) -> Result<StoreNews, PeerError> {
+        let within = Ms(query.wait_ms) + self.silence;
+        let call = |link: Arc<Link>, context| {
+            let query = query.clone();
+            async move { link.client.store(context, query).await }
+        };
+        self.call_within(to, within, call).await?.ok_or(PeerError::Refused)
+    }
 }
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -12,6 +12,7 @@
 //! | [`budget`] | failing targets and repeated sends | repeats multiply the load when it hurts |
 //! | [`poison`] | a request that crashes whatever runs it | its re-sends take the targets down in turn |
 //! | [`sample`] | a burst of ordinary successes | logs take the processor's time |
+//! | [`source`] | hundreds of hosts that follow one store | its load grows with the fleet; a change wakes all hosts there |
 //! | [`comeback`] | refused callers | they return at once, or all together |
 
 pub mod batch;
@@ -25,3 +26,4 @@
 pub mod poison;
 pub mod reading;
 pub mod sample;
+pub mod source;
--- a/crates/wire/src/gen/siskinwheel.v1.rs
+++ b/crates/wire/src/gen/siskinwheel.v1.rs
@@ -856,6 +856,91 @@
     #[prost(message, repeated, tag = "3")]
     pub prompts: ::prost::alloc::vec::Vec<PromptSent>,
 }
+/// Asks a host for what it knows of the platform's store beyond what the asker holds.
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(default)]
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct StoreQuery {
+    /// Version of the configuration that the asker holds; 0 for none.
+    #[prost(uint64, tag = "1")]
+    pub version: u64,
+    /// The store's revision up to which it holds the targets; 0 for none.
+    #[prost(uint64, tag = "2")]
+    pub revision: u64,
+    /// How long the answer may wait for news, ms.
+    #[prost(uint64, tag = "3")]
+    pub wait_ms: u64,
+    /// The asker's proof is old: the answer waits for a young one and for nothing else.
+    #[prost(bool, tag = "4")]
+    pub urgent: bool,
+}
+/// What a host knows of the platform's store.
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(default)]
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct StoreNews {
+    /// Whether `proof_ms` has a meaning: a read has proved the configuration since the host's start.
+    #[prost(bool, tag = "1")]
+    pub proved: bool,
+    /// Time from the sending of that read to the arrival of the query, ms; below zero when the read
+    /// was sent after the query had come. An instant would need clocks that agree.
+    #[prost(sint64, tag = "2")]
+    pub proof_ms: i64,
+    /// Version of the configuration that the host holds; 0 for none.
+    #[prost(uint64, tag = "3")]
+    pub version: u64,
+    /// Its compressed text, where the asker's version is older.
+    #[prost(bytes = "vec", tag = "4")]
+    pub catalog: ::prost::alloc::vec::Vec<u8>,
+    /// The store's revision up to which `updates` go.
+    #[prost(uint64, tag = "5")]
+    pub revision: u64,
+    /// Changes of targets since the query's revision, the last one of each; or all targets.
+    #[prost(message, repeated, tag = "6")]
+    pub updates: ::prost::alloc::vec::Vec<TargetUpdate>,
+    /// Whether `updates` are all targets there are.
+    #[prost(bool, tag = "7")]
+    pub whole: bool,
+    /// Time for which targets that are missing count as lapsed in an outage of the store, ms.
+    #[prost(uint64, tag = "8")]
+    pub lapse_ms: u64,
+}
+/// What became of a target.
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(default)]
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct TargetUpdate {
+    #[prost(string, tag = "1")]
+    pub name: ::prost::alloc::string::String,
+    /// Its registration; none for one that was removed or can't be read.
+    #[prost(message, optional, tag = "2")]
+    pub entry: ::core::option::Option<TargetEntry>,
+    /// It is there, but can't be read.
+    #[prost(bool, tag = "3")]
+    pub malformed: bool,
+}
+/// A target's registration.
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(default)]
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct TargetEntry {
+    #[prost(string, tag = "1")]
+    pub service: ::prost::alloc::string::String,
+    #[prost(string, tag = "2")]
+    pub address: ::prost::alloc::string::String,
+    #[prost(string, tag = "3")]
+    pub domain: ::prost::alloc::string::String,
+    #[prost(uint32, tag = "4")]
+    pub slots: u32,
+    #[prost(bool, tag = "5")]
+    pub draining: bool,
+    #[prost(uint64, tag = "6")]
+    pub warmup_ms: u64,
+    #[prost(uint64, tag = "7")]
+    pub seq: u64,
+    #[prost(uint64, tag = "8")]
+    pub born: u64,
+}
 /// Whether anything of a refused or failed request ran.
 #[derive(serde::Serialize, serde::Deserialize)]
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
