--- a/crates/peer/src/wire_peers.rs
+++ b/crates/peer/src/wire_peers.rs
@@ -263,10 +263,8 @@
 
     async fn store(&self, to: SocketAddr, query: StoreQuery) -> Result<StoreNews, PeerError> {
         let within = Ms(query.wait_ms) + self.silence;
-        let call = |link: Arc<Link>, context| {
-            let query = query.clone();
-            async move { link.client.store(context, query).await }
-        };
+        let call =
+            |link: Arc<Link>, context| async move { link.client.store(context, query).await };
         self.call_within(to, within, call).await?.ok_or(PeerError::Refused)
     }
 }
