Duties of one host for many go to large hosts

Cause: composers of stage calls and readers of the store were chosen among all hosts alike. On the large fleet 18 of 295 hosts have half a core and a 200 Mbit/s link, the others 0.12 of a core and 20 Mbit/s, so nine in ten duties bound a region to an eighth of a core.

Change: settings name the host's share of a processor, gossip carries it, and a duty goes by rendezvous to one of the hosts that have at least half of the largest one's (sched::duty).

--- a/bins/siskinwheel-bench/src/journal/world.rs
+++ b/bins/siskinwheel-bench/src/journal/world.rs
@@ -160,8 +160,12 @@
         };
         lock(&self.net.serves).push(Some(serves));
         lock(&self.listeners).push(listener);
-        let found =
-            ViewHost { host: HostId::from(name(host)), domain: DomainId::from("one"), address };
+        let found = ViewHost {
+            host: HostId::from(name(host)),
+            domain: DomainId::from("one"),
+            address,
+            capacity: 0,
+        };
         let mut hosts = lock(&self.roll.0);
         *hosts = hosts.iter().cloned().chain([found]).collect();
         Ok(())
--- a/crates/edge/src/members.rs
+++ b/crates/edge/src/members.rs
@@ -1,9 +1,10 @@
 //! The other hosts: who composes a service's calls, and what they must know at once.
 
 use async_trait::async_trait;
-use base::{Clock, DomainId, HostId, Ms, PoolId, RegionId, TargetId, Version, rendezvous};
+use base::{Clock, DomainId, HostId, Ms, PoolId, RegionId, TargetId, Version};
 use gossip::{Node, NodeConfig};
 use peer::{StagePeers, StageServer, View, ViewHost, Wire};
+use sched::duty;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -68,7 +69,10 @@
         settings: &Settings,
         clock: Arc<dyn Clock>,
     ) -> std::io::Result<(Self, Node, Told)> {
-        let config = NodeConfig { settings: node_settings(settings) };
+        let config = NodeConfig {
+            settings: node_settings(settings),
+            capacity: (settings.cores * 1000.0) as u32,
+        };
         let (node, _news) = Node::start(config, Arc::new(NoStore), clock.clone()).await?;
         let (crashes, crashes_told) = mpsc::unbounded_channel();
         let (prompts, prompts_told) = mpsc::unbounded_channel();
@@ -135,7 +139,8 @@
         let now = self.clock.now();
         let sound =
             |h: &&ViewHost| fits(h) && suspects.get(&h.host).is_none_or(|until| *until <= now);
-        let found = rendezvous(key, hosts.iter().filter(sound), |h| h.host.as_str())?;
+        let sound: Vec<&ViewHost> = hosts.iter().filter(sound).collect();
+        let found = duty::holder(key, &sound, |h| h.host.as_str(), |h| h.capacity)?;
         Some(match found.host == self.me {
             true => Owner::Me,
             false => Owner::Peer { host: found.host.clone(), addr: found.address },
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -24,6 +24,9 @@
     /// This host's failure domain has no region.
     #[error("domains: name the region of {0}, the host's own failure domain")]
     Domain(DomainId),
+    /// The host has no processor.
+    #[error("cores: must be above 0")]
+    Cores,
     /// A bound has no sense.
     #[error("bounds.{field}: must be {range}")]
     Range {
@@ -58,6 +61,9 @@
     /// Hosts to learn the others from; some may be gone.
     #[serde(default)]
     pub seeds: Vec<SocketAddr>,
+    /// Its share of a processor: duties of one host for many go to large ones. Default 1.
+    #[serde(default = "one_core")]
+    pub cores: f64,
     /// What is promised to the platform.
     #[serde(default)]
     pub bounds: Bounds,
@@ -86,6 +92,10 @@
     pub retry_window_s: f64,
 }
 
+fn one_core() -> f64 {
+    1.0
+}
+
 impl Default for Bounds {
     fn default() -> Self {
         Self {
@@ -114,6 +124,9 @@
         if !settings.domains.contains_key(&settings.domain) {
             return Err(SettingsError::Domain(settings.domain));
         }
+        if settings.cores.is_nan() || settings.cores <= 0.0 {
+            return Err(SettingsError::Cores);
+        }
         let Bounds {
             revoke_ms,
             config_ms,
--- a/crates/edge/tests/settings.rs
+++ b/crates/edge/tests/settings.rs
@@ -36,6 +36,8 @@
     assert_eq!(place, "domains: name the region of elsewhere, the host's own failure domain");
     let bound = error(&format!("{GOOD}bounds: {{grace_s: 0}}\n"));
     assert_eq!(bound, "bounds.grace_s: must be at least 1");
+    let cores = error(&format!("{GOOD}cores: 0\n"));
+    assert_eq!(cores, "cores: must be above 0");
     let missing = error(&GOOD.replace("host: edge-1\n", ""));
     assert!(missing.contains("host"), "{missing}");
 }
@@ -55,6 +57,7 @@
         ("ip", "10.0.0.1"),
         ("platform.addr|json", "\"10.0.0.9:8624\""),
         ("seedNodes|json", "[\"10.0.0.1:8628\",\"10.0.0.2:8628\"]"),
+        ("limits.cpuQuota|json", "0.25"),
         ("bounds.revokeStrict|json", "true"),
         ("bounds.revokeMs|json", "4000"),
         ("bounds.configApplyMs|json", "2500"),
@@ -72,4 +75,5 @@
     assert!(!text.contains("{{"), "{text}");
     let settings = Settings::parse(&text).unwrap();
     assert_eq!((settings.seeds.len(), settings.bounds.revoke_ms), (2, Ms(4_000)));
+    assert_eq!(settings.cores, 0.25);
 }
--- a/crates/entry/src/host.rs
+++ b/crates/entry/src/host.rs
@@ -56,7 +56,7 @@
     pub async fn start(settings: Settings) -> Result<Self, HostError> {
         let clock: Arc<dyn Clock> = Arc::new(SystemClock::new());
         let api = platform(&settings);
-        let node_config = NodeConfig { settings: settings.clone() };
+        let node_config = NodeConfig { settings: settings.clone(), capacity: 0 };
         let (node, news_rx) = Node::start(node_config, api.clone(), clock.clone())
             .await
             .map_err(|source| HostError::Listen { field: "peer", addr: settings.peer, source })?;
--- a/crates/entry/tests/sim/world.rs
+++ b/crates/entry/tests/sim/world.rs
@@ -352,7 +352,12 @@
 impl View for Alone {
     fn hosts(&self) -> Arc<[ViewHost]> {
         let (host, domain) = (HostId::from("host-0"), DomainId::from("a"));
-        Arc::new([ViewHost { host, domain, address: SocketAddr::from(([127, 0, 0, 1], 3)) }])
+        Arc::new([ViewHost {
+            host,
+            domain,
+            address: SocketAddr::from(([127, 0, 0, 1], 3)),
+            capacity: 0,
+        }])
     }
 }
 
--- a/crates/gossip/src/members.rs
+++ b/crates/gossip/src/members.rs
@@ -242,6 +242,7 @@
                 host: m.host.as_str().into(),
                 domain: m.domain.as_str().into(),
                 address,
+                capacity: m.capacity,
             })
         };
         self.serving().filter_map(host).collect()
--- a/crates/gossip/src/node.rs
+++ b/crates/gossip/src/node.rs
@@ -34,6 +34,8 @@
 pub struct NodeConfig {
     /// The host's settings.
     pub settings: conf::Settings,
+    /// Its share of a processor, in thousandths; 0 where it isn't told.
+    pub capacity: u32,
 }
 
 #[derive(Default)]
@@ -80,7 +82,7 @@
         let settings = &config.settings;
         let bound = Bound::at(settings.peer).await?;
         let addr = bound.addr();
-        let rules = Rules::new(settings, addr);
+        let rules = Rules { capacity: config.capacity, ..Rules::new(settings, addr) };
         let (news, news_rx) = mpsc::unbounded_channel();
         let (tells, told) = mpsc::unbounded_channel();
         let state = State::new(rules, Box::new(Parser), clock.now());
--- a/crates/gossip/src/rules.rs
+++ b/crates/gossip/src/rules.rs
@@ -12,6 +12,8 @@
     pub domain: DomainId,
     /// Where other hosts reach it.
     pub address: SocketAddr,
+    /// Its share of a processor, in thousandths; 0 where it isn't told.
+    pub capacity: u32,
     /// Hosts to learn from at the start.
     pub seeds: Vec<SocketAddr>,
     /// Time between rounds of exchanges, ms.
@@ -71,6 +73,7 @@
             host: settings.host.clone(),
             domain: settings.domain.clone(),
             address,
+            capacity: 0,
             seeds: settings.seeds.iter().map(|s| s.address).filter(|a| *a != address).collect(),
             gossip_ms: rates.gossip_ms,
             fanout: rates.fanout,
--- a/crates/gossip/src/state.rs
+++ b/crates/gossip/src/state.rs
@@ -88,6 +88,7 @@
             domain: rules.domain.to_string(),
             address: rules.address.to_string(),
             incarnation: now.0,
+            capacity: rules.capacity,
             ..Member::default()
         };
         let seed = base::hash_parts(&[rules.host.as_str().as_bytes(), &rules.seed.to_le_bytes()]);
--- a/crates/gossip/src/talk.rs
+++ b/crates/gossip/src/talk.rs
@@ -44,6 +44,7 @@
             fleet_hash: fleet::fleet_hash(self.held.as_ref()),
             whole: self.whole,
             blind: me.blind,
+            capacity: me.capacity,
         }
     }
 
@@ -288,5 +289,6 @@
         leaving: digest.leaving,
         status: 0,
         blind: digest.blind,
+        capacity: digest.capacity,
     }
 }
--- a/crates/gossip/tests/node.rs
+++ b/crates/gossip/tests/node.rs
@@ -59,7 +59,7 @@
     }
     let settings = Settings::parse(&yaml).unwrap();
     let clock: Arc<dyn Clock> = Arc::new(SystemClock::new());
-    Node::start(NodeConfig { settings }, Arc::new(api(platform)), clock).await.unwrap()
+    Node::start(NodeConfig { settings, capacity: 0 }, Arc::new(api(platform)), clock).await.unwrap()
 }
 
 async fn until(news: &mut UnboundedReceiver<News>, found: impl Fn(&News) -> bool) -> News {
--- a/crates/journal/tests/sim/world.rs
+++ b/crates/journal/tests/sim/world.rs
@@ -165,6 +165,7 @@
             host: HostId::from(name(host)),
             domain: DomainId::from("one"),
             address: address(host),
+            capacity: 0,
         });
         hosts.collect()
     }
--- a/crates/peer/src/api.rs
+++ b/crates/peer/src/api.rs
@@ -63,6 +63,8 @@
     pub domain: DomainId,
     /// Where it takes connections of other hosts.
     pub address: SocketAddr,
+    /// Its share of a processor, in thousandths; 0 where it isn't told.
+    pub capacity: u32,
 }
 
 /// Who is alive, as this host sees it. Two hosts may see it differently at any moment.
--- /dev/null
+++ b/crates/sched/src/duty.rs
@@ -0,0 +1,29 @@
+//! *Duty*: which host does what one host does for many.
+//!
+//! Answers: a fleet of a few large hosts and many small ones, in which one host composes the stage
+//! calls of a region or reads the store for its domain. Without it the duty falls to a small host
+//! nine times in ten, whose processor and link, a quarter and a tenth of a large one's, then bound
+//! what all its peers get done.
+//!
+//! All hosts that see the same others choose the same one, and choices move as little as they can
+//! when hosts come and go: rendezvous hashing, among the hosts that are large enough.
+
+use base::rendezvous;
+
+/// Part of the largest host's capacity that a host must have to be given a duty, percent: hosts of
+/// about one size share the duties, and the loss of one large host among several moves few.
+const LEAST: u64 = 50;
+
+/// The host that does the duty `key` names; none where there are no hosts.
+///
+/// `capacity` is a host's processing power in any unit; 0 where it isn't known.
+pub fn holder<'a, T>(
+    key: &[u8],
+    hosts: &[&'a T],
+    name: impl Fn(&T) -> &str,
+    capacity: impl Fn(&T) -> u32,
+) -> Option<&'a T> {
+    let most = hosts.iter().map(|h| capacity(h)).max()?;
+    let large = |h: &&&T| u64::from(capacity(h)) * 100 >= u64::from(most) * LEAST;
+    rendezvous(key, hosts.iter().filter(large), |h| name(h)).copied()
+}
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -12,6 +12,7 @@
 //! | [`budget`] | failing targets and repeated sends | repeats multiply the load when it hurts |
 //! | [`poison`] | a request that crashes whatever runs it | its re-sends take the targets down in turn |
 //! | [`sample`] | a burst of ordinary successes | logs take the processor's time |
+//! | [`duty`] | few large hosts among many small ones | what one host does for many falls to a small one |
 //! | [`source`] | hundreds of hosts that follow one store | its load grows with the fleet; a change wakes all hosts there |
 //! | [`comeback`] | refused callers | they return at once, or all together |
 
@@ -19,6 +20,7 @@
 pub mod budget;
 pub mod comeback;
 pub mod directory;
+pub mod duty;
 pub mod estimate;
 pub mod health;
 pub mod offload;
--- a/crates/wire/src/gen/siskinwheel.v1.rs
+++ b/crates/wire/src/gen/siskinwheel.v1.rs
@@ -419,6 +419,9 @@
     /// True while the platform can't be reached from this host.
     #[prost(bool, tag = "13")]
     pub blind: bool,
+    /// Its share of a processor, in thousandths; 0 where it isn't told.
+    #[prost(uint32, tag = "14")]
+    pub capacity: u32,
 }
 #[derive(serde::Serialize, serde::Deserialize)]
 #[serde(default)]
@@ -442,6 +445,9 @@
     pub status: i32,
     #[prost(bool, tag = "9")]
     pub blind: bool,
+    /// Its share of a processor, in thousandths; 0 where it isn't told.
+    #[prost(uint32, tag = "10")]
+    pub capacity: u32,
 }
 /// News of a member that the peer knows already, a fifth of its whole record.
 #[derive(serde::Serialize, serde::Deserialize)]
