Stages of a lost composer go to the next host that all name

Cause: a host whose composer was lost composed the stage itself. With a hundred hosts a region all notice a death at about the same time, and each fills the targets' single places with calls of one request; targets turn the others away.

Change: the next host by the same choice is asked first, with the time that was lost taken off; a host composes for itself after two.

--- a/crates/edge/src/submit.rs
+++ b/crates/edge/src/submit.rs
@@ -31,21 +31,34 @@
     }
 }
 
+/// Hosts that are asked in turn to compose the calls, before this host does.
+///
+/// When the composer of a service dies, all hosts of its region notice at about the same time. If
+/// each then composed for itself, they would fill the targets' few places with calls of one request
+/// each and turn each other away; the next host that all of them name goes on filling calls.
+const COMPOSERS: usize = 2;
+
 /// Hands a stage to whoever composes its service's calls.
 pub(crate) async fn submit(
     app: &Arc<App>,
     service: &PoolId,
     region: &RegionId,
-    work: StageWork,
+    mut work: StageWork,
 ) -> Result<StageOutput, StageFault> {
     let core = &app.core;
     let settings = core.settings().clone();
-    let owner = core.members.owner(&settings, service, region).unwrap_or(Owner::Me);
-    if let Owner::Peer { host, addr } = &owner {
-        match remote::make(core, host, *addr, work.clone()).await {
-            Ok(results) => return output(service, owner, results),
+    for _ in 0..COMPOSERS {
+        let owner = core.members.owner(&settings, service, region);
+        let Some(Owner::Peer { host, addr }) = owner else { break };
+        let begun = core.clock.now();
+        match remote::make(core, &host, addr, work.clone()).await {
+            Ok(results) => return output(service, Owner::Peer { host, addr }, results),
             Err(Missed::Late) => return Err(StageFault::Late(Ms::ZERO)),
-            Err(Missed::Lost) => {}
+            Err(Missed::Lost) => {
+                let passed = core.clock.now() - begun;
+                work.due_ms = (Ms(work.due_ms) - passed).0;
+                work.expires_ms = (Ms(work.expires_ms) - passed).0;
+            }
         }
     }
     // Alone: calls are less full, and nothing is lost.
