siskinwheel: a reader that closes its end early is no failure

The report is now written by a call whose broken pipe is an end like any other. The test closes the pipe before the program prints.

--- a/bins/siskinwheel/src/run.rs
+++ b/bins/siskinwheel/src/run.rs
@@ -11,6 +11,7 @@
 use platform::deploy::{self, DeployError};
 use serde::Serialize;
 use std::fmt::Display;
+use std::io::{ErrorKind, Write};
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use store::{Api, HttpApi, HttpConfig};
@@ -149,11 +150,15 @@
     }
 
     fn print<T: Serialize + Display>(&self, report: &T, exit: Exit) -> Result<Exit> {
-        match self.json {
-            true => println!("{}", serde_json::to_string(report)?),
-            false => println!("{report}"),
+        let text = match self.json {
+            true => serde_json::to_string(report)?,
+            false => report.to_string(),
+        };
+        match writeln!(std::io::stdout().lock(), "{text}") {
+            // Whoever reads has seen enough, as in `| head`.
+            Err(err) if err.kind() == ErrorKind::BrokenPipe => Ok(exit),
+            written => written.context("printing the report").map(|()| exit),
         }
-        Ok(exit)
     }
 }
 
--- a/bins/siskinwheel/tests/suite/usage.rs
+++ b/bins/siskinwheel/tests/suite/usage.rs
@@ -14,3 +14,20 @@
     assert_eq!(run(&[]).status.code(), Some(2));
     assert_eq!(run(&["no-such-command"]).status.code(), Some(2));
 }
+
+// An operator sees a panic with a backtrace in place of two lines: `head` has read what it wants
+// and goes while the report is still being printed.
+#[test]
+fn a_reader_that_goes_early_is_no_failure() {
+    use std::process::{Command, Stdio};
+    let mut child = Command::new(env!("CARGO_BIN_EXE_siskinwheel"))
+        .args(["account", "/dev/null"])
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("it starts");
+    drop(child.stdout.take());
+    let output = child.wait_with_output().expect("it ends");
+    assert_eq!(String::from_utf8_lossy(&output.stderr), "");
+    assert!(output.status.success(), "{}", output.status);
+}
