Crashes of targets are counted by one host before all are told

Cause: each break of a connection under a request was told to at most 128 hosts, the first by name. In a fleet of 295 the rest never heard of a request that crashes targets, and a crash of a quarter of the engines made every host call 128 others at the same moment. Hosts that are told of prompts were the same twelve of a domain for all.

Change: in fleets of more than 24 hosts a break goes to one host by rendezvous over the request's fingerprint, and to all from the second target on (sched::poison::audience); those behind a host by name are told first.

--- a/crates/edge/src/composer/serve.rs
+++ b/crates/edge/src/composer/serve.rs
@@ -10,7 +10,7 @@
 };
 
 use super::Composer;
-use crate::shared;
+use crate::{shared, tell};
 
 /// The composer, for other hosts.
 pub(crate) struct StageService(pub(crate) Arc<Composer>);
@@ -30,10 +30,7 @@
     }
 
     async fn news(&self, news: HostNews) {
-        let now = self.0.core.clock.now();
-        for crash in news.crashes {
-            self.0.core.poison().record(now, crash.fingerprint, &crash.target.into());
-        }
+        news.crashes.iter().for_each(|crash| tell::heard(&self.0.core, crash));
         for prompt in news.prompts {
             self.0.core.read_elsewhere(&prompt.target, Ms(prompt.time_ms));
         }
--- a/crates/edge/src/members.rs
+++ b/crates/edge/src/members.rs
@@ -24,8 +24,8 @@
 const GOSSIP: Ms = Ms(1_000);
 /// A host unheard of for this long is taken for dead, ms.
 const DEAD: Ms = Ms(3_000);
-/// Hosts that are told of a crash by the host that saw it.
-const TOLD: usize = 128;
+/// Calls at once to hosts that are told something.
+const TOLD_AT_ONCE: usize = 64;
 /// Hosts of the failure domain that are told of a prompt, at a hundred bytes each: with more hosts
 /// the fleet's rate a host is lower, and a dozen know enough to avoid an engine that is in use.
 const NEAR_TOLD: usize = 12;
@@ -117,9 +117,9 @@
         self.pick(service.as_str().as_bytes(), near)
     }
 
-    /// The host that keeps the list of engines that have read a subject.
-    pub(crate) fn keeper(&self, subject: u64) -> Option<Owner> {
-        self.pick(&subject.to_le_bytes(), |_| true)
+    /// The host that keeps what the fleet knows of a subject, or of a request that breaks targets.
+    pub(crate) fn keeper(&self, hash: u64) -> Option<Owner> {
+        self.pick(&hash.to_le_bytes(), |_| true)
     }
 
     /// The host that reads the platform's store for a failure domain, among those that `fits` lets
@@ -180,7 +180,7 @@
 
     /// Tells all others.
     pub(crate) async fn tell_all(&self, news: HostNews) {
-        self.tell(news, TOLD, |_| true).await;
+        self.tell(news, usize::MAX, |_| true).await;
     }
 
     /// Tells the others of a failure domain.
@@ -190,15 +190,20 @@
 
     async fn tell(&self, news: HostNews, most: usize, fits: impl Fn(&ViewHost) -> bool) {
         let hosts = self.view.hosts();
-        let others = hosts.iter().filter(|h| h.host != self.me && fits(h)).take(most);
-        let calls = others.map(|h| {
-            let news = news.clone();
-            async move { (h.host.clone(), self.peers.news(h.address, news).await) }
-        });
-        for (host, told) in futures::future::join_all(calls).await {
-            if let Err(err) = told {
-                logs::note!(logs::Event::PeerFailed, host = %host, call = "news", why = %err);
-            }
+        let others = hosts.iter().filter(|h| h.host != self.me && fits(h));
+        // Those behind this one by name first: each host is told by as many as it tells.
+        let (before, behind): (Vec<_>, Vec<_>) = others.partition(|h| h.host < self.me);
+        let told: Vec<&ViewHost> = behind.into_iter().chain(before).take(most).collect();
+        for part in told.chunks(TOLD_AT_ONCE) {
+            let calls = part.iter().map(|h| self.tell_one(&h.host, h.address, news.clone()));
+            futures::future::join_all(calls).await;
+        }
+    }
+
+    /// Tells one host.
+    pub(crate) async fn tell_one(&self, host: &HostId, addr: SocketAddr, news: HostNews) {
+        if let Err(err) = self.peers.news(addr, news).await {
+            logs::note!(logs::Event::PeerFailed, host = %host, call = "news", why = %err);
         }
     }
 
--- a/crates/edge/src/tell.rs
+++ b/crates/edge/src/tell.rs
@@ -1,11 +1,15 @@
 //! What other hosts should know at once: gathered for a moment, then told in one message each.
 
-use base::Ms;
+use base::{HostId, Ms};
+use sched::poison::{Audience, audience};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use tokio::sync::mpsc::UnboundedReceiver;
 use wire::{Crash, HostNews, PromptSent};
 
 use crate::core::Core;
+use crate::members::Owner;
 
 /// Time for which crashes are gathered, ms.
 const CRASHES: Ms = Ms(50);
@@ -13,10 +17,49 @@
 /// a host sends at most a hundred messages a second to each of the few that it tells.
 const PROMPTS: Ms = Ms(10);
 
-/// Tells the other hosts of crashes.
+/// Tells other hosts of crashes that this one saw.
 pub(crate) async fn crashes(core: Arc<Core>, mut told: UnboundedReceiver<Crash>) {
     while let Some(crashes) = gather(&mut told, CRASHES).await {
-        core.members.tell_all(HostNews { crashes, ..HostNews::default() }).await;
+        spread(&core, crashes).await;
+    }
+}
+
+/// Passes crashes on to whoever must know of them; see [`sched::poison`].
+async fn spread(core: &Core, crashes: Vec<Crash>) {
+    let hosts = core.members.hosts().len();
+    let breaks = |c: &Crash| core.poison().broken(c.fingerprint).len();
+    let (all, counted): (Vec<Crash>, Vec<Crash>) =
+        crashes.into_iter().partition(|c| audience(hosts, breaks(c)) == Audience::All);
+    let mut counters: BTreeMap<HostId, (SocketAddr, Vec<Crash>)> = BTreeMap::new();
+    for crash in counted {
+        // Where this host counts itself, it knows already.
+        if let Some(Owner::Peer { host, addr }) = core.members.keeper(crash.fingerprint) {
+            counters.entry(host).or_insert_with(|| (addr, Vec::new())).1.push(crash);
+        }
+    }
+    for (host, (addr, crashes)) in counters {
+        let news = HostNews { crashes, ..HostNews::default() };
+        core.members.tell_one(&host, addr, news).await;
+    }
+    if !all.is_empty() {
+        core.members.tell_all(HostNews { crashes: all, ..HostNews::default() }).await;
+    }
+}
+
+/// Another host has told of a crash. Where this one counts the breaks of that request, and they
+/// are enough, all hosts hear of them.
+pub(crate) fn heard(core: &Core, crash: &Crash) {
+    let target = crash.target.as_str().into();
+    let news = core.poison().record(core.clock.now(), crash.fingerprint, &target);
+    let counts = matches!(core.members.keeper(crash.fingerprint), Some(Owner::Me));
+    let broken = core.poison().broken(crash.fingerprint).to_vec();
+    let hosts = core.members.hosts().len();
+    if !news || !counts || audience(hosts, broken.len()) == audience(hosts, 1) {
+        return;
+    }
+    // Those that were told to this host alone go out too.
+    for target in broken {
+        core.members.crashed(crash.fingerprint, &target);
     }
 }
 
--- a/crates/sched/src/poison.rs
+++ b/crates/sched/src/poison.rs
@@ -8,6 +8,11 @@
 //! poison after [`SUSPECT`] breaks at different targets, or different lives of one, with no good
 //! answer in between, and other hosts are told of each break. A target that crashed starts another
 //! life; one whose link breaks again and again doesn't.
+//!
+//! In a small fleet all hosts are told of each break. In a large one the crash of a few dozen
+//! engines, with a handful of requests each, would have every host tell every other at the same
+//! moment, some ten thousand messages, and hold up the requests that are to be sent again. There
+//! one host counts the breaks of a request, and tells all others from the second on.
 
 use base::{Ms, TargetId};
 use std::collections::HashMap;
@@ -21,6 +26,29 @@
 /// Most requests that are remembered; beyond, the oldest go. About 100 bytes each.
 const MOST: usize = 4_096;
 
+/// Hosts of a fleet in which all are told of each break.
+const SMALL_FLEET: usize = 24;
+/// Breaks of one request of which all hosts of a larger fleet are told: one happens to each sound
+/// request whose target crashes, two hardly do.
+const TOLD_TO_ALL: usize = 2;
+
+/// Who is told of a break.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Audience {
+    /// All hosts.
+    All,
+    /// The host that counts the request's breaks.
+    Counter,
+}
+
+/// Who is told that `breaks` targets have broken under a request, in a fleet of so many hosts.
+pub fn audience(hosts: usize, breaks: usize) -> Audience {
+    match hosts <= SMALL_FLEET || breaks >= TOLD_TO_ALL {
+        true => Audience::All,
+        false => Audience::Counter,
+    }
+}
+
 #[derive(Debug, Default)]
 struct Breaks {
     last: Ms,
--- a/crates/sched/tests/small.rs
+++ b/crates/sched/tests/small.rs
@@ -6,7 +6,7 @@
 use sched::comeback::retry_after;
 use sched::estimate::Estimate;
 use sched::health::{Health, Outcome};
-use sched::poison::{MEMORY, Poison, SUSPECT};
+use sched::poison::{Audience, MEMORY, Poison, SUSPECT, audience};
 use sched::sample::Sampler;
 
 fn service() -> PoolId {
@@ -171,3 +171,14 @@
     assert!(written.len() < 90, "{}", written.len());
     assert!((950..=1_000).contains(&written.iter().sum::<u64>()));
 }
+
+// Requests stand still for a second on every host: a quarter of a large fleet's engines crash, and
+// each host tells all others of each request that broke. One host counts the breaks of a request;
+// all hear of it from the second one on, and in a small fleet at once.
+#[test]
+fn a_break_is_told_to_all_where_there_are_few_or_it_comes_again() {
+    assert_eq!(audience(6, 1), Audience::All);
+    assert_eq!(audience(295, 1), Audience::Counter);
+    assert_eq!(audience(295, 2), Audience::All);
+    assert_eq!(audience(295, SUSPECT), Audience::All);
+}
