--- a/crates/edge/src/members.rs
+++ b/crates/edge/src/members.rs
@@ -1,16 +1,15 @@
 //! The other hosts: who composes a service's calls, and what they must know at once.
 
-use async_trait::async_trait;
-use base::{Clock, DomainId, HostId, Ms, PoolId, RegionId, TargetId, Version};
+use base::{Clock, DomainId, HostId, Ms, PoolId, RegionId, TargetId};
 use gossip::{Node, NodeConfig};
 use peer::{StagePeers, StageServer, View, ViewHost, Wire};
 use sched::duty;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use store::{Api, StoreError};
+use store::Empty;
 use tokio::sync::mpsc;
-use wire::{Crash, HostNews, Object, ObjectList, PromptSent};
+use wire::{Crash, HostNews, PromptSent};
 
 use crate::settings::Settings;
 
@@ -73,7 +72,7 @@
             settings: node_settings(settings),
             capacity: (settings.cores * 1000.0) as u32,
         };
-        let (node, _news) = Node::start(config, Arc::new(NoStore), clock.clone()).await?;
+        let (node, _news) = Node::start(config, Arc::new(Empty), clock.clone()).await?;
         let (crashes, crashes_told) = mpsc::unbounded_channel();
         let (prompts, prompts_told) = mpsc::unbounded_channel();
         let members = Self {
@@ -242,26 +241,3 @@
         seed: 1,
     }
 }
-
-/// A store in which nothing lies. The node learns hosts from its peers alone.
-struct NoStore;
-
-#[async_trait]
-impl Api for NoStore {
-    async fn get(&self, _: &str, _: &str) -> Result<Option<Object>, StoreError> {
-        Ok(None)
-    }
-
-    async fn list(&self, _: &str) -> Result<ObjectList, StoreError> {
-        Ok(ObjectList::default())
-    }
-
-    async fn put(&self, _: &str, _: &str, _: Version, _: &str) -> Result<Version, StoreError> {
-        Err(StoreError::Down)
-    }
-
-    async fn watch(&self, _: &str, _: Version, wait: Ms) -> Result<ObjectList, StoreError> {
-        tokio::time::sleep(wait.duration()).await;
-        Ok(ObjectList::default())
-    }
-}
--- a/crates/logs/src/lib.rs
+++ b/crates/logs/src/lib.rs
@@ -11,7 +11,7 @@
 /// Writes a numbered event with fields, as `tracing` takes them.
 ///
 /// ```
-/// logs::note!(logs::Event::HostStarted, host = "thies-1");
+/// logs::note!(logs::Event::HostStarted, host = "edge-1");
 /// ```
 #[macro_export]
 macro_rules! note {
--- a/crates/sched/src/offload.rs
+++ b/crates/sched/src/offload.rs
@@ -11,8 +11,8 @@
 /// How much sooner another region must be able to start a stage for it to go there, ms: the way
 /// there and back, twice, and some, since its load is known from a while ago.
 pub const FAR_COST: Ms = Ms(120);
-/// Bytes that weigh as much as a ms of waiting when they cross regions: two megabytes, which cross
-/// for the price of a twelfth of a long report, weigh as half a call.
+/// Bytes that weigh as much as a ms of waiting when they cross regions: two megabytes weigh as an
+/// eighth of a second, about half a call, so that a caller waits less than that for the volume.
 const BYTES_PER_MS: u64 = 16_000;
 
 /// A stage that is handed in where what it reads lies.
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -2,16 +2,18 @@
 //! answer was lost.
 //!
 //! [`Api`] is the border. [`HttpApi`] speaks to the platform, [`Bounded`] limits how often; tests
-//! put an in-memory one in its place.
+//! put an in-memory one in its place, and [`Empty`] stands where there is none.
 
 mod api;
 mod bounded;
 mod doubt;
+mod empty;
 mod error;
 mod http;
 
 pub use api::Api;
 pub use bounded::{Bounded, CallCounts};
 pub use doubt::{Change, Written, write};
+pub use empty::Empty;
 pub use error::StoreError;
 pub use http::{HttpApi, HttpConfig};
