A host whose watch finds the history forgotten pauses before it lists; lost proofs are logged by all

Cause, found by reading: since one host reads for the others, a forgotten watch led straight to the next list. And only hosts that read wrote that they lost or regained the proof of keys, so a follower's refusals had no line.

--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -6,7 +6,7 @@
 //! and changes often; a watch that ends early, or a history that is forgotten, means to list again.
 
 use base::Ms;
-use catalog::{LAPSE_GRACE, Proof, Update};
+use catalog::{LAPSE_GRACE, Update};
 use logs::note;
 use std::sync::Arc;
 
@@ -29,7 +29,7 @@
 /// Longest wait of a watch, ms.
 const WATCH_MOST: Ms = Ms(8_000);
 /// Pause after changes before the next watch, ms. Changes come in groups, when targets are
-/// replaced or register again; without it each is a call of every host.
+/// replaced or register again; without it each is a call.
 const GROUP: Ms = Ms(300);
 /// Pause after a failed call, ms; doubled each time in a row.
 const PAUSE: Ms = Ms(100);
@@ -41,7 +41,6 @@
 /// Keeps the configuration current.
 pub(crate) async fn catalog(core: Arc<Core>, directory: Arc<dyn Directory>) {
     let mut pause = Pause::default();
-    let mut proved = true;
     let mut reading = core.reading();
     loop {
         // The sender lives in `core`, so the wait can't fail.
@@ -60,7 +59,6 @@
                 tokio::time::sleep(pause.time(core.draw()).duration()).await;
             }
         }
-        note_proof(&core, &mut proved);
     }
 }
 
@@ -77,20 +75,6 @@
     (core.settings().bounds.drain_ms - WATCH_REST).min(WATCH_MOST)
 }
 
-fn note_proof(core: &Core, proved: &mut bool) {
-    match (core.proof(), *proved) {
-        (Proof::Stale { age }, true) => {
-            *proved = false;
-            note!(logs::Event::ProofLost, age_ms = age.map(|a| a.0));
-        }
-        (Proof::Current, false) => {
-            *proved = true;
-            note!(logs::Event::ProofBack);
-        }
-        _ => {}
-    }
-}
-
 async fn read_catalog(directory: &dyn Directory) -> Result<Option<Declared>, DirectoryError> {
     let page = within(SILENCE, directory.list(Kind::Catalog, None)).await?;
     let mut newest: Option<Declared> = None;
@@ -111,7 +95,7 @@
 
 /// Keeps the targets current.
 pub(crate) async fn targets(core: Arc<Core>, directory: Arc<dyn Directory>) {
-    let mut outage = Outage::default();
+    let mut gap = Gap::default();
     let mut pause = Pause::default();
     let mut reading = core.reading();
     loop {
@@ -119,32 +103,44 @@
         let _ = reading.wait_for(|reads| *reads).await;
         let mut ended = core.reading();
         let result = tokio::select! {
-            result = follow(&core, directory.as_ref(), &mut pause, &mut outage) => result,
+            result = follow(&core, directory.as_ref(), &mut pause, &mut gap) => result,
             _ = ended.wait_for(|reads| !*reads) => Ok(()),
         };
         let Err(err) = result else { continue };
-        outage.failed(&err);
+        gap.failed(&err);
         pause.bad(&err, "targets");
         core.expire();
         tokio::time::sleep(pause.time(core.draw()).duration()).await;
     }
 }
 
-/// Whether registrations may have lapsed because the store was away.
+/// What this host may have missed of the targets.
 #[derive(Default)]
-struct Outage {
-    open: bool,
+struct Gap {
+    /// Registrations may have lapsed, since the store was away.
+    lapsed: bool,
+    /// The store has forgotten what happened since the last watch.
+    forgotten: bool,
 }
 
-impl Outage {
+impl Gap {
+    fn open(&self) -> bool {
+        self.lapsed || self.forgotten
+    }
+
     fn failed(&mut self, err: &DirectoryError) {
-        // A forgotten history is no sign that registrations lapsed.
-        self.open |= *err != DirectoryError::Forgotten;
+        match err {
+            DirectoryError::Forgotten => self.forgotten = true,
+            DirectoryError::Busy(_) | DirectoryError::Down | DirectoryError::Malformed(_) => {
+                self.lapsed = true;
+            }
+        }
     }
 
-    /// The store answers: until when what is missing counts as lapsed, if it was away before.
-    fn answered(&mut self, now: Ms) -> Option<Ms> {
-        std::mem::take(&mut self.open).then_some(now + LAPSE_GRACE)
+    /// A list has come: until when what is missing counts as lapsed, if the store was away before.
+    fn listed(&mut self, now: Ms) -> Option<Ms> {
+        let lapsed = std::mem::take(self).lapsed;
+        lapsed.then_some(now + LAPSE_GRACE)
     }
 }
 
@@ -156,16 +152,16 @@
     core: &Core,
     directory: &dyn Directory,
     pause: &mut Pause,
-    outage: &mut Outage,
+    gap: &mut Gap,
 ) -> Result<(), DirectoryError> {
     let mut list_at = core.clock.now() + LIST_EVERY;
     loop {
         let wait = watch_wait(core);
-        let since = core.revision().filter(|_| !outage.open && core.clock.now() < list_at);
+        let since = core.revision().filter(|_| !gap.open() && core.clock.now() < list_at);
         let Some(since) = since else {
             let (records, revision) = list(core, directory).await?;
             pause.good();
-            let lapse = outage.answered(core.clock.now());
+            let lapse = gap.listed(core.clock.now());
             lapse.into_iter().for_each(|until| core.lapsed(until));
             let names = records.iter().map(|r| r.name.clone()).collect();
             let entries = records.into_iter().filter_map(|r| match update(r) {
@@ -178,14 +174,7 @@
         };
         let watch = directory.watch(Kind::Targets, Revision(since), wait);
         core.metrics.store_call("watch");
-        let watched = within(wait + SILENCE, watch).await;
-        let Updates { changes, revision } = match watched {
-            Err(DirectoryError::Forgotten) => {
-                list_at = core.clock.now();
-                continue;
-            }
-            watched => watched?,
-        };
+        let Updates { changes, revision } = within(wait + SILENCE, watch).await?;
         pause.good();
         let changed = !changes.is_empty();
         let updates = changes.into_iter().map(|change| match change {
--- a/crates/edge/src/source.rs
+++ b/crates/edge/src/source.rs
@@ -1,6 +1,7 @@
 //! Follows the host of the failure domain that reads the platform's store; see [`sched::source`].
 
 use base::{HostId, Ms};
+use catalog::Proof;
 use logs::note;
 use sched::source::SourceFault;
 use std::net::SocketAddr;
@@ -35,6 +36,7 @@
 /// Keeps what is known of the store current by asking whoever reads it.
 pub(crate) async fn follow(core: Arc<Core>, directory: Arc<dyn Directory>) {
     let begun = core.clock.now();
+    let mut proved = true;
     loop {
         let next = match core.clock.now() - begun < SETTLE {
             true => settle(&core),
@@ -45,6 +47,22 @@
             Next::Ask(host, addr) => ask(&core, directory.as_ref(), &host, addr).await,
         }
         core.expire();
+        note_proof(&core, &mut proved);
+    }
+}
+
+/// Says once that keys can't be served any more, or can again.
+fn note_proof(core: &Core, proved: &mut bool) {
+    match (core.proof(), *proved) {
+        (Proof::Stale { age }, true) => {
+            *proved = false;
+            note!(logs::Event::ProofLost, age_ms = age.map(|a| a.0));
+        }
+        (Proof::Current, false) => {
+            *proved = true;
+            note!(logs::Event::ProofBack);
+        }
+        _ => {}
     }
 }
 
