--- a/crates/edge/src/members.rs
+++ b/crates/edge/src/members.rs
@@ -123,7 +123,7 @@
 
     /// The host that reads the platform's store for a failure domain, among those that `fits` lets
     /// pass.
-    pub(crate) fn reader(
+    pub(crate) fn store_reader(
         &self,
         domain: &DomainId,
         fits: impl Fn(&HostId) -> bool,
--- a/crates/edge/src/source.rs
+++ b/crates/edge/src/source.rs
@@ -99,7 +99,7 @@
 /// The host that is named to read, of those that have not failed lately.
 fn named(core: &Core, now: Ms) -> Option<Owner> {
     let sources = core.sources();
-    core.members.reader(&core.settings().domain, |host| sources.fits(now, host))
+    core.members.store_reader(&core.settings().domain, |host| sources.fits(now, host))
 }
 
 fn wait(core: &Core) -> Ms {
--- a/crates/sched/src/duty.rs
+++ b/crates/sched/src/duty.rs
@@ -2,8 +2,7 @@
 //!
 //! Answers: a fleet of a few large hosts and many small ones, in which one host composes the stage
 //! calls of a region or reads the store for its domain. Without it the duty falls to a small host
-//! nine times in ten, whose processor and link, a quarter and a tenth of a large one's, then bound
-//! what all its peers get done.
+//! nine times in ten, whose processor and link then bound what all its peers get done.
 //!
 //! All hosts that see the same others choose the same one, and choices move as little as they can
 //! when hosts come and go: rendezvous hashing, among the hosts that are large enough.
