A host whose reader is turned away by the store reads once itself

The store turned half of the hosts away. A host that it served asked one reader after the other that it did not, each of which takes up to a second to say so, and went on by the old configuration.

Change: when a host that is asked says that it is kept from the store, the asker reads the configuration and the changes of targets once itself. A reader counts as kept from the store after half of the time in which a change must be in force at the latest, and reads three times within it.

--- a/crates/edge/src/core.rs
+++ b/crates/edge/src/core.rs
@@ -80,7 +80,10 @@
 /// Part of the time after which a key that was taken away must not work, percent, after which a
 /// proof is too old for a host that still reaches the store: two reads, one of them slow. What is
 /// left is time to ask another.
-const BLIND: u64 = 40;
+const BLIND_KEYS: u64 = 40;
+/// The same of the time in which a change must be in force: what is left is the wait of one query,
+/// and a read.
+const BLIND_CHANGE: u64 = 50;
 /// Time within which connections of several targets that go silent have one cause, ms.
 const SILENT_TOGETHER: Ms = Ms(3_000);
 
@@ -301,7 +304,9 @@
     /// Whether the newest proof is older than it may be on a host that the store, or one that reads
     /// it, answers.
     pub(crate) fn blind(&self) -> bool {
-        let most = self.settings().bounds.revoke_ms.scale(BLIND, 100);
+        let bounds = &self.settings().bounds;
+        let keys = bounds.revoke_ms.scale(BLIND_KEYS, 100);
+        let most = keys.min(bounds.config_ms.scale(BLIND_CHANGE, 100));
         self.proof_age().is_none_or(|age| age > most)
     }
 
--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -16,8 +16,8 @@
 };
 
 /// Part of the time in which a change must be in force after which the configuration is read again,
-/// percent: a read that is lost, and [`SILENCE`], still fit. Each call is paid for.
-const READ_SHARE: u64 = 60;
+/// percent: hosts that follow this one notice that its reads fail, and read themselves, in time.
+const READ_SHARE: u64 = 30;
 /// The same of the time after which a key that was taken away must not work, percent: hosts that
 /// follow this one hear of the proof later, and may lose a call.
 const PROOF_SHARE: u64 = 20;
@@ -93,6 +93,36 @@
     Ok(newest)
 }
 
+/// Reads the configuration and what changed of the targets once, for a host that follows others.
+pub(crate) async fn once(core: &Core, directory: &dyn Directory) -> Result<(), DirectoryError> {
+    let sent = core.clock.now();
+    core.metrics.store_call("read");
+    let found = read_catalog(directory).await?;
+    core.take_catalog(sent, found.as_ref());
+    let Some(since) = core.revision() else { return Ok(()) };
+    core.metrics.store_call("watch");
+    watch(core, directory, Revision(since), Ms::ZERO).await?;
+    Ok(())
+}
+
+/// Waits for changes of targets and takes them. Gives whether there were some.
+async fn watch(
+    core: &Core,
+    directory: &dyn Directory,
+    since: Revision,
+    wait: Ms,
+) -> Result<bool, DirectoryError> {
+    let watch = directory.watch(Kind::Targets, since, wait);
+    let Updates { changes, revision } = within(wait + SILENCE, watch).await?;
+    let changed = !changes.is_empty();
+    let updates = changes.into_iter().map(|change| match change {
+        Change::Removed(id) => Update::Removed(id),
+        Change::Set(record) => update(record),
+    });
+    core.take_updates(revision.0, updates.collect());
+    Ok(changed)
+}
+
 /// Keeps the targets current.
 pub(crate) async fn targets(core: Arc<Core>, directory: Arc<dyn Directory>) {
     let mut gap = Gap::default();
@@ -172,16 +202,9 @@
             list_at = core.clock.now() + LIST_EVERY;
             continue;
         };
-        let watch = directory.watch(Kind::Targets, Revision(since), wait);
         core.metrics.store_call("watch");
-        let Updates { changes, revision } = within(wait + SILENCE, watch).await?;
+        let changed = watch(core, directory, Revision(since), wait).await?;
         pause.good();
-        let changed = !changes.is_empty();
-        let updates = changes.into_iter().map(|change| match change {
-            Change::Removed(id) => Update::Removed(id),
-            Change::Set(record) => update(record),
-        });
-        core.take_updates(revision.0, updates.collect());
         core.expire();
         if changed {
             tokio::time::sleep(GROUP.duration()).await;
--- a/crates/edge/src/source.rs
+++ b/crates/edge/src/source.rs
@@ -10,6 +10,7 @@
 
 use crate::core::Core;
 use crate::directory::Directory;
+use crate::follow;
 use crate::members::Owner;
 use crate::shared;
 
@@ -122,15 +123,24 @@
             note!(logs::Event::PeerFailed, host = %host, call = "store", why = %err);
             core.sources().failed(now, host, SourceFault::Unreachable);
         }
-        Ok(news) => {
-            if let Err(err) = shared::take(core, directory, sent, news) {
-                note!(logs::Event::PeerFailed, host = %host, call = "store", why = %err);
+        Ok(news) => match shared::take(core, directory, sent, news) {
+            Ok(()) if !core.blind() => core.sources().helped(),
+            taken => {
+                let why = taken.err().map(|err| err.to_string());
+                note!(logs::Event::PeerFailed, host = %host, call = "store", why);
                 core.sources().failed(now, host, SourceFault::Blind);
-            } else if core.blind() {
-                core.sources().failed(now, host, SourceFault::Blind);
-            } else {
-                core.sources().helped();
+                read_once(core, directory).await;
             }
-        }
+        },
+    }
+}
+
+/// Reads the store itself once, since the host that was asked is kept from it.
+///
+/// The store may turn away that host and the next ones alike, and serve this one: asked one after
+/// the other they would use up the time in which a change must be in force here.
+async fn read_once(core: &Core, directory: &dyn Directory) {
+    if let Err(err) = follow::once(core, directory).await {
+        note!(logs::Event::PlatformDown, what = "once", why = %err);
     }
 }
--- a/crates/sched/src/source.rs
+++ b/crates/sched/src/source.rs
@@ -13,11 +13,12 @@
 //! | it holds nothing yet | reads the store itself, once |
 //! | it is the one that is named, or was asked lately | reads |
 //! | another is named | asks that one |
-//! | no answer, or that host is itself kept from the store | passes it over for [`PASS`], asks the next |
-//! | [`UNREACHABLE`] hosts in a row can't be reached | it may be cut off from them: reads itself for [`ALONE`] |
+//! | no answer | passes it over for three seconds, asks the next |
+//! | that host is itself kept from the store | the same, and reads once itself: the store may turn away that host alone |
+//! | two hosts in a row can't be reached | it may be cut off from them: reads itself for three seconds |
 //!
-//! Hosts that are kept from the store never make the others go there: what one of them can't
-//! reach is down for all, as far as is known, and the next host that is asked tries.
+//! While the store is away from all, each host calls it once for each host that it asked in vain,
+//! which takes about a second; hundreds that went on by themselves would call it without end.
 
 use base::{HostId, Ms};
 use std::collections::HashMap;
