--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -9,11 +9,14 @@
 mod log;
 mod model;
 mod registry;
+mod residency;
 
 pub use entry::{Entry, TargetState};
 pub use freshness::{Freshness, KEY_PROOF_SHARE, Proof};
 pub use log::{ChangeLog, Missing, Update};
 pub use model::{
-    Backend, Batch, Catalog, CatalogError, Engine, Limits, Repeat, Route, Service, Stage, Workspace,
+    Backend, Batch, Catalog, CatalogError, Engine, Limits, Repeat, Route, Service, Stage, Warmup,
+    Workspace,
 };
 pub use registry::{LAPSE_GRACE, Registry, RegistryEvent, Seen, Target};
+pub use residency::Residency;
--- a/crates/catalog/src/model.rs
+++ b/crates/catalog/src/model.rs
@@ -5,6 +5,8 @@
 use std::sync::Arc;
 use thiserror::Error;
 
+use crate::Residency;
+
 /// What may be done again with a request, by the kind of its route.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Repeat {
@@ -77,6 +79,8 @@
     pub stages: Vec<Stage>,
     /// Whether it is served without a key.
     pub public: bool,
+    /// Regions that its requests may be in.
+    pub residency: Residency,
 }
 
 impl Route {
@@ -144,6 +148,15 @@
     pub copy_ms: f64,
 }
 
+/// How a service's targets behave after a start.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Warmup {
+    /// How long a target stays cold, ms.
+    pub time: Ms,
+    /// Requests a second that a cold target stands, from all hosts together.
+    pub per_second: f64,
+}
+
 /// A service: a set of interchangeable targets.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Service {
@@ -157,6 +170,8 @@
     pub batch: Option<Batch>,
     /// For a service that runs generations.
     pub engine: Option<Engine>,
+    /// For a service whose targets are cold after a start.
+    pub warmup: Option<Warmup>,
 }
 
 /// Bounds on what callers may send.
@@ -185,6 +200,8 @@
     pub name: WorkspaceId,
     /// Its rank, which goes before the route's.
     pub priority: Option<u8>,
+    /// Regions that its requests may be in.
+    pub residency: Residency,
 }
 
 /// Why a set of declarations can't be used.
--- a/crates/catalog/src/registry.rs
+++ b/crates/catalog/src/registry.rs
@@ -4,6 +4,7 @@
 //! |---|---|
 //! | an entry, ready | it takes work |
 //! | an entry, draining | nothing new, for the rest of that life |
+//! | an entry that is cold for longer than before | it has gone cold again |
 //! | an entry of an earlier life, or an older one of this life | ignored |
 //! | a removal while the store is calm | gone at once |
 //! | missing, or removed, shortly after an outage | kept until [`LAPSE_GRACE`] after the store's return, then gone |
@@ -72,6 +73,8 @@
     Joined(TargetId),
     /// A target takes nothing new.
     Draining(TargetId),
+    /// A target has gone cold, and stays so for this long, ms.
+    Cold(TargetId, Ms),
     /// A target is gone.
     Gone(TargetId),
 }
@@ -124,11 +127,13 @@
     /// What a whole list says that isn't known here.
     ///
     /// A registration that only counts on is no change: each target renews its own all the time.
+    /// That one is cold, or no longer, is.
     pub fn differs(&self, entries: &[Entry], names: &[TargetId]) -> Vec<Update> {
         let readable: HashSet<&TargetId> = entries.iter().map(|e| &e.id).collect();
         let listed: HashSet<&TargetId> = names.iter().collect();
         let same = |a: &Entry, b: &Entry| {
-            let plain = |e: &Entry| Entry { seq: 0, warmup: Ms::ZERO, ..e.clone() };
+            let cold = |e: &Entry| Ms(u64::from(e.warmup > Ms::ZERO));
+            let plain = |e: &Entry| Entry { seq: 0, warmup: cold(e), ..e.clone() };
             plain(a) == plain(b)
         };
         let known = |e: &Entry| self.targets.get(&e.id).is_some_and(|t| same(&t.entry, e));
@@ -167,6 +172,9 @@
                 if state == TargetState::Draining {
                     out.push(RegistryEvent::Draining(id.clone()));
                 }
+                if entry.warmup > known.warmup {
+                    out.push(RegistryEvent::Cold(id.clone(), entry.warmup));
+                }
             }
             _ => out.push(RegistryEvent::Joined(id.clone())),
         }
--- /dev/null
+++ b/crates/catalog/tests/residency.rs
@@ -0,0 +1,39 @@
+//! Which regions a request may be in.
+
+use base::RegionId;
+use catalog::Residency;
+
+fn within(regions: &[&str]) -> Residency {
+    Residency::declared(regions.iter().map(|r| RegionId::from(*r)))
+}
+
+#[test]
+fn a_declaration_that_names_no_region_restricts_nothing() {
+    assert_eq!(within(&[]), Residency::Anywhere);
+    assert!(within(&[]).allows(&"dakar".into()));
+}
+
+#[test]
+fn a_route_and_a_workspace_bind_together() {
+    let both = within(&["dakar", "thies"]).and(&within(&["thies", "saint-louis"]));
+    assert_eq!(both, within(&["thies"]));
+    assert_eq!(Residency::Anywhere.and(&within(&["thies"])), within(&["thies"]));
+    assert_eq!(within(&["thies"]).and(&Residency::Anywhere), within(&["thies"]));
+}
+
+/// Guards against two declarations without a common region being read as none at all.
+#[test]
+fn declarations_that_exclude_each_other_allow_nothing() {
+    let none = within(&["dakar"]).and(&within(&["thies"]));
+    assert!(none.is_nowhere());
+    assert!(!none.allows(&"dakar".into()));
+    assert!(!none.allows(&"thies".into()));
+    assert!(!within(&["dakar"]).is_nowhere());
+}
+
+/// Guards against a target of a failure domain that the settings don't name.
+#[test]
+fn a_place_of_an_unknown_region_is_none_of_those_that_are_named() {
+    assert!(!within(&["dakar"]).allows_place(None));
+    assert!(Residency::Anywhere.allows_place(None));
+}
--- a/crates/catalog/tests/routes.rs
+++ b/crates/catalog/tests/routes.rs
@@ -2,8 +2,8 @@
 
 use base::Ms;
 use catalog::{
-    Backend, Catalog, CatalogError, Freshness, KEY_PROOF_SHARE, Limits, Proof, Repeat, Route,
-    Stage, Workspace,
+    Backend, Catalog, CatalogError, Freshness, KEY_PROOF_SHARE, Limits, Proof, Repeat, Residency,
+    Route, Stage, Workspace,
 };
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -22,11 +22,13 @@
         attempts: 1,
         stages: Vec::new(),
         public: false,
+        residency: Residency::Anywhere,
     }
 }
 
 fn catalog(routes: Vec<Route>) -> Result<Catalog, CatalogError> {
-    let workspace = Workspace { name: "painters".into(), priority: None };
+    let workspace =
+        Workspace { name: "painters".into(), priority: None, residency: Residency::Anywhere };
     let keys = HashMap::from([("k1".to_owned(), Arc::new(workspace))]);
     Catalog::new(3, Limits::default(), routes, Vec::new(), Some(keys))
 }
--- a/crates/edge/src/choose.rs
+++ b/crates/edge/src/choose.rs
@@ -1,11 +1,13 @@
 //! From the known targets to a choice.
 
-use base::{Ms, PoolId};
+use base::Ms;
 use sched::place::{self, Candidate, Distance};
 use std::sync::Arc;
 
 use crate::core::Core;
+use crate::gate::{self, Barrier};
 use crate::links::Link;
+use crate::request::Call;
 
 /// What kind of choice.
 #[derive(Clone, Copy, Debug)]
@@ -29,28 +31,44 @@
 /// The target for a request, none of `tried` as long as there are others.
 pub(crate) fn choose(
     core: &Core,
-    service: &PoolId,
+    call: &Call,
     want: Want<'_>,
     tried: &[Arc<Link>],
-) -> Option<Arc<Link>> {
+) -> Result<Arc<Link>, Barrier> {
     let now = core.clock.now();
     let links = core.links();
-    let fresh = |l: &&Arc<Link>| !tried.iter().any(|t| t.entry.id == l.entry.id);
-    let open: Vec<&Arc<Link>> = links.of(service).iter().filter(fresh).collect();
+    let mut barrier = match links.barred(&call.service) {
+        true => Barrier::Evacuated,
+        false => Barrier::NoTarget,
+    };
+    let mut open: Vec<&Arc<Link>> = Vec::new();
+    for link in links.of(&call.service) {
+        if tried.iter().any(|t| t.entry.id == link.entry.id) {
+            continue;
+        }
+        if !core.allows(&call.residency, link) {
+            barrier = Barrier::Outside;
+            continue;
+        }
+        match gate::check(core, now, link) {
+            Ok(()) => open.push(link),
+            Err(why) => barrier = why,
+        }
+    }
     let candidates: Vec<Candidate<'_>> =
         open.iter().map(|l| candidate(core, now, l, want)).collect();
     let chosen = match want {
         Want::Plain { risky } => place::plain(&candidates, risky),
         Want::Engine { subject, copy, .. } => place::engine(&candidates, subject, copy),
     };
-    chosen.map(|i| open[i].clone())
+    chosen.map(|i| open[i].clone()).ok_or(barrier)
 }
 
 /// Another engine that knows a subject, for `link` to copy its memory from: the nearest that has
 /// read it, else the one of the whole fleet that all hosts name for it.
 pub(crate) fn source(
     core: &Core,
-    service: &PoolId,
+    call: &Call,
     subject: u64,
     readers: &[String],
     link: &Link,
@@ -60,8 +78,8 @@
     }
     let links = core.links();
     let now = core.clock.now();
-    let usable: Vec<&Arc<Link>> =
-        links.of(service).iter().filter(|l| l.health().usable(now)).collect();
+    let serves = |l: &Arc<Link>| l.health().usable(now) && core.allows(&call.residency, l);
+    let usable: Vec<&Arc<Link>> = links.of(&call.service).iter().filter(|l| serves(l)).collect();
     let age = |l: &Link| readers.iter().position(|r| r == l.life().as_str());
     let known = usable.iter().filter(|l| knows(l, subject, readers));
     let near = known.min_by_key(|l| (core.distance(&l.entry.domain), age(l)));
--- a/crates/edge/src/composer/far.rs
+++ b/crates/edge/src/composer/far.rs
@@ -1,11 +1,13 @@
 //! Stage work for other regions: their loads, and what is passed on to them.
 
 use base::{Ms, PoolId, RegionId};
+use catalog::Residency;
 use sched::offload;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use wire::{StageResults, StageWork};
 
+use super::submission::residency;
 use super::{Composer, lock};
 use crate::members::Owner;
 use crate::remote::{self, Missed};
@@ -28,7 +30,10 @@
         let now = self.core.clock.now();
         let shape = self.core.catalog()?.service(service)?.batch.clone()?;
         let known = lock(&self.services).get(service).cloned();
+        let settings = self.core.settings();
+        let residency = residency(work);
         let here = match known {
+            _ if !residency.allows(settings.region()) => None,
             Some(service) => lock(&service.state).batcher.wait(now),
             None => (!self.places(service).is_empty()).then_some(Ms::ZERO),
         };
@@ -38,6 +43,7 @@
             let far = lock(&self.far);
             let known =
                 far.iter().filter(|((s, _), (at, _))| s == service && now - *at <= LOAD_AGE);
+            let known = known.filter(|((_, region), _)| residency.allows(region));
             let known = known.map(|((_, region), (_, wait))| (region.clone(), *wait));
             offload::better(stage, here, known)
         };
@@ -45,22 +51,28 @@
             (Some(region), _) => region,
             (None, Some(_)) => return None,
             // Nothing here, and no word of the others yet: any that has a target.
-            (None, None) => self.region_with_target(service, &work.request)?,
+            (None, None) => self.region_with_target(service, &work.request, &residency)?,
         };
         if let Some((_, wait)) = lock(&self.far).get_mut(&(service.clone(), region.clone())) {
             // What goes there now is not in its load yet.
             *wait += Ms((shape.call_ms * f64::from(work.pieces) / shape.size as f64) as u64);
         }
-        match self.core.members.owner(&self.core.settings(), service, &region)? {
+        match self.core.members.owner(&settings, service, &region)? {
             Owner::Me => None,
             owner => Some((region, owner)),
         }
     }
 
-    fn region_with_target(&self, service: &PoolId, request: &str) -> Option<RegionId> {
+    fn region_with_target(
+        &self,
+        service: &PoolId,
+        request: &str,
+        residency: &Residency,
+    ) -> Option<RegionId> {
         let links = self.core.links();
         let settings = self.core.settings();
-        let targets = links.of(service);
+        let targets = links.of(service).iter().filter(|l| self.core.allows(residency, l));
+        let targets: Vec<_> = targets.collect();
         let draw = base::hash_parts(&[request.as_bytes()]) as usize % targets.len().max(1);
         settings.region_of(&targets.get(draw)?.entry.domain).cloned()
     }
--- a/crates/edge/src/composer/mod.rs
+++ b/crates/edge/src/composer/mod.rs
@@ -136,31 +136,32 @@
         Some(service)
     }
 
-    /// Targets of a service that this host composes calls for: those of its region, or all where
-    /// no other host composes for them.
+    /// Targets of a service that this host composes calls for: those of its region, and those of
+    /// regions where no other host composes for them. Where it has some of its own, the others are
+    /// for pieces that may be made nowhere nearer.
     ///
     /// Two composers for one target each believe its place and its room to be their own: calls are
     /// turned away, or find no room.
     fn places(&self, service: &PoolId) -> Vec<Place> {
         let links = self.core.links();
         let settings = self.core.settings();
-        let place = |l: &Arc<Link>| Place {
-            id: l.entry.id.clone(),
-            born: l.entry.born,
-            domain: l.entry.domain.clone(),
-        };
-        let composed = |l: &Arc<Link>| match settings.region_of(&l.entry.domain) {
-            Some(region) if region == settings.region() => true,
+        let targets: Vec<(&Arc<Link>, Option<&RegionId>)> =
+            links.of(service).iter().map(|l| (l, settings.region_of(&l.entry.domain))).collect();
+        let near = |region: Option<&RegionId>| region == Some(settings.region());
+        let any_near = targets.iter().any(|(_, region)| near(*region));
+        let composed = |region: Option<&RegionId>| match region {
             Some(region) => !self.core.members.composes(&settings, service, region),
-            None => true,
+            None => !any_near,
         };
-        let all = links.of(service);
-        let near = |l: &&Arc<Link>| settings.region_of(&l.entry.domain) == Some(settings.region());
-        let own: Vec<Place> = all.iter().filter(near).map(place).collect();
-        match own.is_empty() {
-            true => all.iter().filter(|l| composed(l)).map(place).collect(),
-            false => own,
-        }
+        let mine = targets.into_iter().filter(|(_, region)| near(*region) || composed(*region));
+        let place = |(link, region): (&Arc<Link>, Option<&RegionId>)| Place {
+            id: link.entry.id.clone(),
+            born: link.entry.born,
+            domain: link.entry.domain.clone(),
+            region: region.cloned(),
+            reserved: any_near && !near(region),
+        };
+        mine.map(place).collect()
     }
 
     /// Ticks a batcher when it asks for it, and tells it of its targets.
@@ -268,6 +269,8 @@
         };
         let answered = match send(&self.core, &link, OWN_CALL, timeout, build).await {
             Ok(answered) => answered,
+            // An evacuated target is taken off the list, a cold one stands a call in a moment.
+            Err(SendFault::Barred(_)) => return CallEnd::Full,
             Err(SendFault::NoConnection) => return CallEnd::NoConnection,
             Err(SendFault::Silent) => return CallEnd::Silent,
             Err(SendFault::Broken | SendFault::Mismatch) => return CallEnd::Broken,
--- a/crates/edge/src/composer/submission.rs
+++ b/crates/edge/src/composer/submission.rs
@@ -1,6 +1,7 @@
 //! Pieces of one stage between whoever submits them and the batcher.
 
-use base::{Ms, TargetId};
+use base::{Ms, RegionId, TargetId};
+use catalog::Residency;
 use sched::batch::{Event, Piece, PieceEnd, PieceId, Source};
 use std::sync::Arc;
 use tokio::sync::oneshot;
@@ -66,6 +67,7 @@
     };
     let request: Arc<str> = work.request.as_str().into();
     let home = (!work.passed_on && !work.home.is_empty()).then(|| work.home.as_str().into());
+    let residency = residency(work);
     let piece = |index| Piece {
         request: request.clone(),
         stage: work.stage,
@@ -76,10 +78,16 @@
         rank: work.rank.min(9) as u8,
         bytes: work.bytes,
         home: home.clone(),
+        residency: residency.clone(),
     };
     (0..work.pieces).map(piece).collect()
 }
 
+/// Regions that the request of a stage may be in.
+pub(super) fn residency(work: &StageWork) -> Residency {
+    Residency::declared(work.regions.iter().map(|r| RegionId::from(r.as_str())))
+}
+
 /// Notes that a piece is in a call. Gives what all pieces of its stage have read then, once.
 pub(super) fn begun(state: &mut State, piece: &PieceId) -> Vec<StageRelease> {
     let Some((submission, i)) = state.waiting.get(piece) else { return Vec::new() };
@@ -109,6 +117,7 @@
         PieceEnd::Gone => (PieceFault::Gone, String::new()),
         PieceEnd::Room => (PieceFault::Room, String::new()),
         PieceEnd::Failed => (PieceFault::Failed, String::new()),
+        PieceEnd::Outside => (PieceFault::Outside, String::new()),
     };
     let target = target.map_or_else(String::new, |t| t.as_str().to_owned());
     let mut submission = lock(&submission);
--- a/crates/edge/src/core.rs
+++ b/crates/edge/src/core.rs
@@ -3,17 +3,19 @@
 use arc_swap::{ArcSwap, ArcSwapOption, Guard};
 use base::{Clock, DomainId, Ms, TargetId};
 use catalog::{
-    Catalog, ChangeLog, Entry, Freshness, Limits, Missing, Proof, Registry, RegistryEvent, Seen,
-    Update,
+    Catalog, ChangeLog, Entry, Freshness, Limits, Missing, Proof, Registry, RegistryEvent,
+    Residency, Seen, Update,
 };
 use logs::note;
 use sched::budget::{Allowance, Budget};
 use sched::directory::Directory;
 use sched::estimate::Estimate;
+use sched::evacuation::{EvacuationEvent, Evacuations};
 use sched::place::Distance;
 use sched::poison::Poison;
 use sched::sample::Sampler;
 use sched::source::Sources;
+use sched::warmup::UNHEARD;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use tokio::sync::watch;
@@ -21,6 +23,7 @@
 use crate::choose;
 use crate::dialect::Dialect;
 use crate::directory::Declared;
+use crate::gate::{self, Gate};
 use crate::links::{Link, Links};
 use crate::members::Members;
 use crate::metrics::Metrics;
@@ -50,6 +53,8 @@
     pub(crate) dialect: Arc<dyn Dialect>,
     pub(crate) metrics: Metrics,
     pub(crate) members: Members,
+    /// Evacuated failure domains, and who shares what cold targets stand.
+    pub(crate) gate: Gate,
     /// Signs of life of the hosts that this one waits for.
     pub(crate) pulses: Pulses,
     /// Changes when targets or the configuration do.
@@ -84,6 +89,9 @@
 /// The same of the time in which a change must be in force: what is left is the wait of one query,
 /// and a read.
 const BLIND_CHANGE: u64 = 50;
+/// The same of the time in which an evacuated failure domain must get nothing: one watch, and an
+/// answer that is lost.
+const BLIND_EVACUATION: u64 = 70;
 /// Time within which connections of several targets that go silent have one cause, ms.
 const SILENT_TOGETHER: Ms = Ms(3_000);
 
@@ -134,6 +142,7 @@
             dialect,
             metrics,
             members,
+            gate: Gate::new(clock.now(), &settings),
             pulses: Pulses::default(),
             moved: watch::Sender::new(()),
             budget: Mutex::new(Budget::new(allowance(&settings))),
@@ -220,6 +229,15 @@
         lock(&self.directory)
     }
 
+    /// Whether a request may be at a target.
+    pub(crate) fn allows(&self, residency: &Residency, link: &Link) -> bool {
+        let settings = self.settings();
+        match residency {
+            Residency::Anywhere => true,
+            limit => limit.allows_place(settings.region_of(&link.entry.domain)),
+        }
+    }
+
     /// Which hosts read the store.
     pub(crate) fn sources(&self) -> MutexGuard<'_, Sources> {
         lock(&self.sources)
@@ -301,10 +319,47 @@
         self.proofs.subscribe()
     }
 
+    /// Takes what was learned of evacuated failure domains.
+    pub(crate) fn take_evacuations(
+        &self,
+        learn: impl FnOnce(&mut Evacuations) -> Vec<EvacuationEvent>,
+    ) {
+        let known = lock(&self.known);
+        let events = learn(&mut self.gate.evacuations());
+        if events.is_empty() {
+            return;
+        }
+        self.renew_links(&known);
+        drop(known);
+        for event in &events {
+            match event {
+                EvacuationEvent::Begun(domain) => {
+                    note!(logs::Event::EvacuationBegun, domain = %domain);
+                }
+                EvacuationEvent::Ended(domain) => {
+                    note!(logs::Event::EvacuationEnded, domain = %domain);
+                    gate::cool_domain(self, domain);
+                }
+            }
+        }
+    }
+
+    /// Whether evacuated failure domains are known, as far as there may be any.
+    pub(crate) fn knows_evacuations(&self) -> bool {
+        let asked = self.settings().bounds.evacuate_ms.is_some();
+        !asked || self.gate.evacuations().known().is_some()
+    }
+
     /// Whether the newest proof is older than it may be on a host that the store, or one that reads
     /// it, answers.
     pub(crate) fn blind(&self) -> bool {
         let bounds = &self.settings().bounds;
+        if let Some(most) = bounds.evacuate_ms.map(|bound| bound.scale(BLIND_EVACUATION, 100)) {
+            let proved = self.gate.evacuations().proved();
+            if proved.is_none_or(|at| self.clock.now() - at > most) {
+                return true;
+            }
+        }
         let keys = bounds.revoke_ms.scale(BLIND_KEYS, 100);
         let most = keys.min(bounds.config_ms.scale(BLIND_CHANGE, 100));
         self.proof_age().is_none_or(|age| age > most)
@@ -386,14 +441,34 @@
         if events.is_empty() {
             return;
         }
-        for event in events {
+        for event in &events {
             match event {
                 RegistryEvent::Joined(id) => note!(logs::Event::TargetJoined, target = %id),
                 RegistryEvent::Draining(id) => note!(logs::Event::TargetLeaving, target = %id),
                 RegistryEvent::Gone(id) => note!(logs::Event::TargetGone, target = %id),
+                RegistryEvent::Cold(id, rest) => {
+                    note!(logs::Event::TargetCold, target = %id, rest_ms = rest.0);
+                }
+            }
+        }
+        self.renew_links(known);
+        let links = self.links();
+        let now = self.clock.now();
+        for event in events {
+            match event {
+                RegistryEvent::Cold(id, rest) => {
+                    links.named(&id).into_iter().for_each(|l| l.warmth().cold_until(now + rest));
+                }
+                RegistryEvent::Joined(_) | RegistryEvent::Draining(_) | RegistryEvent::Gone(_) => {}
             }
         }
-        let next = self.links.load().renew(known.registry.targets());
+    }
+
+    fn renew_links(&self, known: &Known) {
+        let targets = known.registry.targets();
+        let evacuated = self.gate.evacuations().domains().clone();
+        let unheard = self.settings().bounds.heartbeat_ms.scale(UNHEARD, 1);
+        let next = self.links.load().renew(self.clock.now(), targets, evacuated, unheard);
         self.links.store(Arc::new(next));
         self.moved.send_replace(());
     }
@@ -406,7 +481,7 @@
             Some(_) => true,
             None => false,
         };
-        current && !self.stopping() && self.links().ready() > 0
+        current && self.knows_evacuations() && !self.stopping() && self.links().ready() > 0
     }
 
     /// Until when results are kept until an engine's answer begins.
--- a/crates/edge/src/directory.rs
+++ b/crates/edge/src/directory.rs
@@ -18,6 +18,8 @@
     Catalog,
     /// What targets say of themselves.
     Targets,
+    /// Failure domains whose targets get nothing, each named by its record.
+    Evacuations,
 }
 
 /// Declarations, read and as they are written.
@@ -36,6 +38,8 @@
     Catalog(Declared),
     /// One target.
     Target(Entry),
+    /// The failure domain of that name is evacuated.
+    Evacuation,
     /// It can't be used; the reason is for the log.
     Malformed(String),
 }
--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -14,6 +14,7 @@
 use crate::directory::{
     Change, Declared, Directory, DirectoryError, Kind, Record, RecordBody, Revision, Updates,
 };
+use crate::evacuate;
 
 /// Part of the time in which a change must be in force after which the configuration is read again,
 /// percent: hosts that follow this one notice that its reads fail, and read themselves, in time.
@@ -22,7 +23,7 @@
 /// follow this one hear of the proof later, and may lose a call.
 const PROOF_SHARE: u64 = 20;
 /// Wait for an answer of the store, ms: sixty times its usual time.
-const SILENCE: Ms = Ms(700);
+pub(crate) const SILENCE: Ms = Ms(700);
 /// What is left of the time in which a leaving target must get nothing new when a watch ends, ms:
 /// one that went silent for good is noticed [`SILENCE`] later, and the list read.
 const WATCH_REST: Ms = Ms(1_000);
@@ -83,7 +84,7 @@
             RecordBody::Catalog(found) => {
                 newest = newest.into_iter().chain([found]).max_by_key(|d| d.catalog.version);
             }
-            RecordBody::Target(_) => {}
+            RecordBody::Target(_) | RecordBody::Evacuation => {}
             RecordBody::Malformed(why) => {
                 note!(logs::Event::ConfigRefused, name = %record.name, why);
                 return Err(DirectoryError::Malformed(why));
@@ -93,12 +94,13 @@
     Ok(newest)
 }
 
-/// Reads the configuration and what changed of the targets once, for a host that follows others.
+/// Reads the configuration, evacuations and what changed of the targets once, for a host that follows others.
 pub(crate) async fn once(core: &Core, directory: &dyn Directory) -> Result<(), DirectoryError> {
     let sent = core.clock.now();
     core.metrics.store_call("read");
     let found = read_catalog(directory).await?;
     core.take_catalog(sent, found.as_ref());
+    evacuate::once(core, directory).await?;
     let Some(since) = core.revision() else { return Ok(()) };
     core.metrics.store_call("watch");
     watch(core, directory, Revision(since), Ms::ZERO).await?;
@@ -189,7 +191,7 @@
         let wait = watch_wait(core);
         let since = core.revision().filter(|_| !gap.open() && core.clock.now() < list_at);
         let Some(since) = since else {
-            let (records, revision) = list(core, directory).await?;
+            let (records, revision) = list(core, directory, Kind::Targets).await?;
             pause.good();
             let lapse = gap.listed(core.clock.now());
             lapse.into_iter().for_each(|until| core.lapsed(until));
@@ -212,15 +214,17 @@
     }
 }
 
-async fn list(
+/// All records of a kind, and the revision from which to watch on.
+pub(crate) async fn list(
     core: &Core,
     directory: &dyn Directory,
+    kind: Kind,
 ) -> Result<(Vec<Record>, Revision), DirectoryError> {
     let mut records = Vec::new();
     let mut after: Option<String> = None;
     let mut first = None;
     loop {
-        let list = directory.list(Kind::Targets, after.as_deref());
+        let list = directory.list(kind, after.as_deref());
         core.metrics.store_call("list");
         let page = within(SILENCE, list).await?;
         records.extend(page.records);
@@ -236,7 +240,7 @@
 fn update(record: Record) -> Update {
     match record.body {
         RecordBody::Target(entry) => Update::Set(entry),
-        RecordBody::Catalog(_) => Update::Malformed(record.name),
+        RecordBody::Catalog(_) | RecordBody::Evacuation => Update::Malformed(record.name),
         RecordBody::Malformed(why) => {
             note!(logs::Event::EntryMalformed, target = %record.name, why);
             Update::Malformed(record.name)
@@ -244,7 +248,8 @@
     }
 }
 
-async fn within<T>(
+/// A call's answer within a bound; none by then counts as the store being away.
+pub(crate) async fn within<T>(
     bound: Ms,
     call: impl Future<Output = Result<T, DirectoryError>>,
 ) -> Result<T, DirectoryError> {
@@ -253,27 +258,29 @@
 
 /// Pauses between failed calls, and one log line when the store is lost and when it is back.
 #[derive(Default)]
-struct Pause {
+pub(crate) struct Pause {
     failures: u32,
 }
 
 impl Pause {
-    fn good(&mut self) {
+    /// A call was answered.
+    pub(crate) fn good(&mut self) {
         if self.failures > 0 {
             note!(logs::Event::PlatformBack, failures = self.failures);
         }
         self.failures = 0;
     }
 
-    fn bad(&mut self, err: &DirectoryError, what: &'static str) {
+    /// A call failed that reads `what`.
+    pub(crate) fn bad(&mut self, err: &DirectoryError, what: &'static str) {
         if self.failures == 0 {
             note!(logs::Event::PlatformDown, what, why = %err);
         }
         self.failures += 1;
     }
 
-    /// Hosts that lost the store together must not come back together.
-    fn time(&self, draw: u64) -> Ms {
+    /// Time until the next call: hosts that lost the store together must not come back together.
+    pub(crate) fn time(&self, draw: u64) -> Ms {
         let time = PAUSE.scale(1 << self.failures.saturating_sub(1).min(8), 1).min(PAUSE_MOST);
         time.scale(1, 2) + Ms(draw % (time.0 / 2 + 1))
     }
--- /dev/null
+++ b/crates/edge/src/gate.rs
@@ -0,0 +1,125 @@
+//! Whether a target may get a request at this moment: evacuated failure domains and cold targets.
+//!
+//! Asked twice: when a target is chosen, and again right before the request is written, since a
+//! connection may have taken a while to open. Where a request may be is no question of the moment;
+//! that is its [`catalog::Residency`].
+
+use base::Ms;
+use catalog::Warmup;
+use sched::evacuation::Evacuations;
+use sched::roster::Roster;
+use sched::warmup::{self, ColdLimit};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+use crate::core::Core;
+use crate::links::Link;
+use crate::settings::Settings;
+
+/// Why no target may get a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Barrier {
+    /// There is none, or all have been tried.
+    NoTarget,
+    /// None is in a region that the request may be in.
+    Outside,
+    /// Those that there are belong to evacuated failure domains.
+    Evacuated,
+    /// Those that there are have had what they stand while cold; they stay cold for this long.
+    Cold(Ms),
+}
+
+impl Barrier {
+    /// Its name in logs.
+    pub(crate) const fn name(self) -> &'static str {
+        match self {
+            Self::NoTarget => "no_target",
+            Self::Outside => "outside",
+            Self::Evacuated => "evacuated",
+            Self::Cold(_) => "cold",
+        }
+    }
+}
+
+/// What the gate rests on.
+pub(crate) struct Gate {
+    evacuations: Mutex<Evacuations>,
+    roster: Mutex<Roster>,
+}
+
+impl Gate {
+    /// Nothing evacuated and nobody seen.
+    pub(crate) fn new(now: Ms, settings: &Settings) -> Self {
+        let others = settings.seeds.iter().any(|seed| *seed != settings.peer);
+        Self { evacuations: Mutex::default(), roster: Mutex::new(Roster::new(now, others)) }
+    }
+
+    /// The evacuated failure domains.
+    pub(crate) fn evacuations(&self) -> MutexGuard<'_, Evacuations> {
+        lock(&self.evacuations)
+    }
+
+    /// The hosts that there may be.
+    pub(crate) fn roster(&self) -> MutexGuard<'_, Roster> {
+        lock(&self.roster)
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Whether a target may get a request now.
+pub(crate) fn check(core: &Core, now: Ms, link: &Link) -> Result<(), Barrier> {
+    if core.links().evacuated(&link.entry.domain) {
+        return Err(Barrier::Evacuated);
+    }
+    let rest = link.warmth().rest(now);
+    if rest == Ms::ZERO {
+        return Ok(());
+    }
+    let Some(warmup) = declared(core, link) else { return Ok(()) };
+    let share = share(core, now, link, warmup);
+    match link.warmth().open(now, share) {
+        true => Ok(()),
+        false => Err(Barrier::Cold(rest)),
+    }
+}
+
+/// The same for a request that is written now; it counts.
+pub(crate) fn pass(core: &Core, link: &Link) -> Result<(), Barrier> {
+    let now = core.clock.now();
+    check(core, now, link)?;
+    link.warmth().sent(now);
+    Ok(())
+}
+
+/// Targets of a failure domain are taken to be cold: its evacuation was taken back.
+pub(crate) fn cool_domain(core: &Core, domain: &base::DomainId) {
+    let now = core.clock.now();
+    let links = core.links();
+    for link in links.all().filter(|l| l.entry.domain == *domain) {
+        if let Some(warmup) = declared(core, link) {
+            link.warmth().cold_until(now + warmup.time);
+        }
+    }
+}
+
+fn declared(core: &Core, link: &Link) -> Option<Warmup> {
+    core.declared()?.catalog.service(&link.entry.service)?.warmup
+}
+
+/// Requests that this host may send to a cold target within a second.
+fn share(core: &Core, now: Ms, link: &Link, warmup: Warmup) -> u32 {
+    let settings = core.settings();
+    if link.entry.domain != settings.domain {
+        return 0;
+    }
+    let bounds = &settings.bounds;
+    let limit = ColdLimit {
+        factor: bounds.cold_factor.unwrap_or(1.0),
+        slack: bounds.cold_slack.unwrap_or_default(),
+    };
+    let roster = core.gate.roster();
+    let Some(hosts) = roster.of(now, &settings.domain) else { return 0 };
+    warmup::share(limit.of(warmup.per_second), link.name(), &settings.host, hosts)
+}
--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -22,7 +22,7 @@
 use crate::members::{self, Members};
 use crate::metrics::Metrics;
 use crate::settings::Settings;
-use crate::{accept, follow, reload, source, tell};
+use crate::{accept, evacuate, follow, reload, source, tell};
 
 /// Time for which a stopping host goes on taking requests, ms: the platform asks every second, and
 /// sends nobody any more after two answers that the host isn't ready.
@@ -122,6 +122,7 @@
         let tasks = vec![
             tokio::spawn(follow::catalog(core.clone(), directory.clone())),
             tokio::spawn(follow::targets(core.clone(), directory.clone())),
+            tokio::spawn(evacuate::follow(core.clone(), directory.clone())),
             tokio::spawn(source::follow(core.clone(), directory)),
             tokio::spawn(reload::follow(core.clone(), path, changed)),
             tokio::spawn(composer.watch_far()),
@@ -216,12 +217,14 @@
     }
 }
 
-/// Keeps the number of hosts that share the allowance of second sends.
+/// Keeps the hosts that share the allowance of second sends, and what cold targets stand.
 async fn count(core: Arc<Core>) {
     loop {
         tokio::time::sleep(COUNT.duration()).await;
-        let live = core.members.hosts().len();
-        core.budget().hosts(live);
+        let hosts = core.members.hosts();
+        core.budget().hosts(hosts.len());
+        let seen = hosts.iter().map(|h| (&h.host, &h.domain));
+        core.gate.roster().see(core.clock.now(), seen);
     }
 }
 
--- a/crates/edge/src/links.rs
+++ b/crates/edge/src/links.rs
@@ -1,11 +1,12 @@
 //! The targets that take work, with their connections, health and load.
 
-use base::{Ms, PoolId, TargetId};
+use base::{DomainId, Ms, PoolId, TargetId};
 use catalog::{Entry, Target, TargetState};
 use link::{Pool, PoolConfig};
 use sched::health::{Health, Outcome};
 use sched::reading::{Backlog, Subjects};
-use std::collections::HashMap;
+use sched::warmup::Warmth;
+use std::collections::{BTreeSet, HashMap};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
@@ -33,6 +34,9 @@
     load: Mutex<Option<(Ms, Load)>>,
     backlog: Mutex<Backlog>,
     subjects: Mutex<Subjects>,
+    warmth: Mutex<Warmth>,
+    /// Time in which it would have registered again, had it been lost, ms.
+    unheard: Ms,
 }
 
 /// Counts a request as open at a target until it is dropped.
@@ -45,7 +49,9 @@
 }
 
 impl Link {
-    fn new(entry: Entry) -> Self {
+    fn new(now: Ms, entry: Entry, unheard: Ms) -> Self {
+        let mut warmth = Warmth::default();
+        warmth.cold_until(now + entry.warmup);
         let config = PoolConfig { connect_ms: CONNECT, idle: IDLE_KEPT, idle_ms: IDLE };
         Self {
             pool: Pool::new(entry.addr, config),
@@ -55,6 +61,8 @@
             load: Mutex::default(),
             backlog: Mutex::default(),
             subjects: Mutex::default(),
+            warmth: Mutex::new(warmth),
+            unheard,
         }
     }
 
@@ -90,9 +98,21 @@
         self.subjects.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Whether it is cold, and what it got lately.
+    pub(crate) fn warmth(&self) -> MutexGuard<'_, Warmth> {
+        self.warmth.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// How a send ended.
     pub(crate) fn record(&self, now: Ms, outcome: Outcome) {
         self.health().record(now, outcome);
+        match outcome {
+            // It may have been lost, and come back cold before it is heard of.
+            Outcome::NoConnection | Outcome::Broken | Outcome::Silent => {
+                self.warmth().cold_until(now + self.unheard);
+            }
+            Outcome::Good(_) | Outcome::Failed | Outcome::Full => {}
+        }
     }
 
     /// What it says of its load.
@@ -115,20 +135,37 @@
 pub(crate) struct Links {
     by_service: HashMap<PoolId, Vec<Arc<Link>>>,
     by_name: HashMap<TargetId, Arc<Link>>,
+    /// Failure domains whose targets get nothing.
+    evacuated: BTreeSet<DomainId>,
+    /// Services that have targets there.
+    barred: BTreeSet<PoolId>,
 }
 
 impl Links {
     /// From the targets that are known; what is the same life of a target as before keeps its
     /// connections and what was learned of it.
-    pub(crate) fn renew<'a>(&self, targets: impl Iterator<Item = &'a Arc<Target>>) -> Self {
-        let mut next = Self::default();
+    pub(crate) fn renew<'a>(
+        &self,
+        now: Ms,
+        targets: impl Iterator<Item = &'a Arc<Target>>,
+        evacuated: BTreeSet<DomainId>,
+        unheard: Ms,
+    ) -> Self {
+        let mut next = Self { evacuated, ..Self::default() };
         for target in targets {
             let entry = &target.entry;
             let known = self.by_name.get(&entry.id).filter(|l| same_life(&l.entry, entry));
-            let link = known.cloned().unwrap_or_else(|| Arc::new(Link::new(entry.clone())));
+            let link =
+                known.cloned().unwrap_or_else(|| Arc::new(Link::new(now, entry.clone(), unheard)));
             next.by_name.insert(entry.id.clone(), link.clone());
-            if entry.state == TargetState::Ready {
-                next.by_service.entry(entry.service.clone()).or_default().push(link);
+            match entry.state {
+                TargetState::Ready if next.evacuated(&entry.domain) => {
+                    next.barred.insert(entry.service.clone());
+                }
+                TargetState::Ready => {
+                    next.by_service.entry(entry.service.clone()).or_default().push(link);
+                }
+                TargetState::Draining => {}
             }
         }
         for links in next.by_service.values_mut() {
@@ -142,6 +179,16 @@
         self.by_service.get(service).map_or(&[], Vec::as_slice)
     }
 
+    /// Whether the targets of a failure domain get nothing.
+    pub(crate) fn evacuated(&self, domain: &DomainId) -> bool {
+        self.evacuated.contains(domain)
+    }
+
+    /// Whether a service has targets in evacuated failure domains.
+    pub(crate) fn barred(&self, service: &PoolId) -> bool {
+        self.barred.contains(service)
+    }
+
     /// A target by name, also one that is leaving.
     pub(crate) fn named(&self, id: &TargetId) -> Option<&Arc<Link>> {
         self.by_name.get(id)
--- a/crates/edge/src/plain.rs
+++ b/crates/edge/src/plain.rs
@@ -53,8 +53,9 @@
             break if runs > 0 { Reason::Failed } else { Reason::NoTarget };
         }
         let want = Want::Plain { risky: !again };
-        let Some(link) = choose(core, &call.service, want, &tried) else {
-            break if runs > 0 { Reason::Failed } else { Reason::NoTarget };
+        let link = match choose(core, call, want, &tried) {
+            Ok(link) => link,
+            Err(barrier) => break if runs > 0 { Reason::Failed } else { barrier.into() },
         };
         let more = again && runs + 1 < call.route.attempts;
         let wait = match more {
--- a/crates/edge/src/refusal.rs
+++ b/crates/edge/src/refusal.rs
@@ -8,6 +8,7 @@
 use crate::body::{Out, whole};
 use crate::core::Core;
 use crate::dialect::AskError;
+use crate::gate::Barrier;
 use crate::request::Call;
 
 /// Why a request gets no target's answer.
@@ -33,6 +34,14 @@
     NoTime,
     /// No target takes it.
     NoTarget,
+    /// The regions of its route and of its workspace exclude each other.
+    Nowhere,
+    /// No target is in a region that it may be in.
+    Outside,
+    /// Its targets are in evacuated failure domains.
+    Evacuated,
+    /// Its targets have just started and stand no more. They do after this time.
+    Cold(Ms),
     /// Its stages can't be done. What stands in the way is over in this time.
     Stages(Ms),
     /// It crashes the targets that run it.
@@ -43,6 +52,17 @@
     Timeout,
 }
 
+impl From<Barrier> for Reason {
+    fn from(barrier: Barrier) -> Self {
+        match barrier {
+            Barrier::NoTarget => Self::NoTarget,
+            Barrier::Outside => Self::Outside,
+            Barrier::Evacuated => Self::Evacuated,
+            Barrier::Cold(rest) => Self::Cold(rest),
+        }
+    }
+}
+
 impl Reason {
     /// Its name in logs and metrics.
     pub(crate) const fn name(self) -> &'static str {
@@ -57,6 +77,10 @@
             Self::Stopping => "stopping",
             Self::NoTime => "no_time",
             Self::NoTarget => "no_target",
+            Self::Nowhere => "nowhere",
+            Self::Outside => "outside",
+            Self::Evacuated => "evacuated",
+            Self::Cold(_) => "cold",
             Self::Stages(_) => "stages",
             Self::Poison => "poison",
             Self::Failed => "failed",
@@ -76,6 +100,10 @@
             | Self::Stopping
             | Self::NoTime
             | Self::NoTarget
+            | Self::Nowhere
+            | Self::Outside
+            | Self::Evacuated
+            | Self::Cold(_)
             | Self::Stages(_) => StatusCode::SERVICE_UNAVAILABLE,
             Self::Poison | Self::Failed => StatusCode::BAD_GATEWAY,
             Self::Timeout => StatusCode::GATEWAY_TIMEOUT,
@@ -88,8 +116,10 @@
             // Another host can serve it now.
             Self::Unproved | Self::Stopping | Self::NoConfig => Some(Ms(50)),
             // A target comes back, or its ejection ends.
-            Self::NoTarget => Some(Ms(500)),
-            Self::Stages(wait) => Some(wait),
+            Self::NoTarget | Self::Outside => Some(Ms(500)),
+            // Longer than an operator needs to take it back.
+            Self::Evacuated => Some(Ms(1_000)),
+            Self::Stages(wait) | Self::Cold(wait) => Some(wait),
             _ => None,
         }
     }
@@ -108,6 +138,13 @@
             Self::Stopping => "this host is stopping; ask another".into(),
             Self::NoTime => "there is no time left to run it".into(),
             Self::NoTarget => "no target takes it now".into(),
+            Self::Nowhere => {
+                "the regions of its route and of its workspace exclude each other; change one"
+                    .into()
+            }
+            Self::Outside => "no target is in a region that its route and workspace allow".into(),
+            Self::Evacuated => "the failure domains of its targets are evacuated".into(),
+            Self::Cold(_) => "its targets have just started and take no more for a moment".into(),
             Self::Stages(_) => "its stages can't be done in time".into(),
             Self::Poison => "targets crash when they run this request".into(),
             Self::Failed => "a target failed; the request may have run".into(),
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -13,6 +13,7 @@
 use crate::choose::{Want, choose, source};
 use crate::core::Core;
 use crate::events::{EventStream, Taken};
+use crate::gate::Barrier;
 use crate::host::App;
 use crate::links::Link;
 use crate::plain::{crashed, headers};
@@ -132,8 +133,8 @@
                     let reason = if timeout { Reason::Timeout } else { Reason::Failed };
                     return Started::Refused(reason);
                 }
-                Sent::NoTarget => {
-                    let reason = if self.runs > 0 { Reason::Failed } else { Reason::NoTarget };
+                Sent::Barred(barrier) => {
+                    let reason = if self.runs > 0 { Reason::Failed } else { barrier.into() };
                     return Started::Refused(reason);
                 }
             }
@@ -172,12 +173,13 @@
         if self.tried.len() >= SENDS
             || (!first && !self.core.budget().take(now, &self.call.service))
         {
-            return Sent::NoTarget;
+            return Sent::Barred(Barrier::NoTarget);
         }
         let subject = self.call.ask.subject();
         let want = Want::Engine { subject, copy: self.copy_time(), readers: &self.readers };
-        let Some(link) = choose(&self.core, &self.call.service, want, &self.tried) else {
-            return Sent::NoTarget;
+        let link = match choose(&self.core, &self.call, want, &self.tried) {
+            Ok(link) => link,
+            Err(barrier) => return Sent::Barred(barrier),
         };
         self.tried.push(link.clone());
         let tokens = self.call.ask.own_tokens();
@@ -194,8 +196,7 @@
         };
         let (core, call) = (&self.core, &self.call);
         let (inputs, last) = (self.results.handles(), self.events.last());
-        let fetch =
-            source(core, &call.service, subject, &self.readers, &link).map(|l| l.entry.addr);
+        let fetch = source(core, call, subject, &self.readers, &link).map(|l| l.entry.addr);
         let build = || {
             self.results.free_soon();
             call.onward(headers(core, call, &link, inputs, last, fetch))
@@ -394,7 +395,7 @@
                     return Ok(());
                 }
                 Sent::NotRun | Sent::Lost | Sent::Gone => {}
-                Sent::Answer(_) | Sent::NoTarget => break,
+                Sent::Answer(_) | Sent::Barred(_) => break,
             }
         }
         note!(
@@ -416,7 +417,8 @@
     /// Not run: its inputs are gone.
     Gone,
     Lost,
-    NoTarget,
+    /// No engine may get it.
+    Barred(Barrier),
 }
 
 impl Drop for Relay {
--- a/crates/edge/src/request.rs
+++ b/crates/edge/src/request.rs
@@ -2,7 +2,7 @@
 
 use base::{Ms, PoolId, hash_parts};
 use bytes::Bytes;
-use catalog::{Catalog, Proof, Route, Workspace};
+use catalog::{Catalog, Proof, Residency, Route, Workspace};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::http::request::Parts;
@@ -30,6 +30,8 @@
     /// The configuration that it is served by, to its end.
     pub(crate) catalog: Arc<Catalog>,
     pub(crate) workspace: Option<Arc<Workspace>>,
+    /// Regions that it may be in, with all that is made for it.
+    pub(crate) residency: Residency,
     pub(crate) parts: Parts,
     pub(crate) body: Bytes,
     pub(crate) arrived: Ms,
@@ -157,6 +159,14 @@
     if app.closed() {
         return Err(refused(Reason::Stopping));
     }
+    if !core.knows_evacuations() {
+        return Err(refused(Reason::NoConfig));
+    }
+    let allowed = workspace.as_ref().map_or(Residency::Anywhere, |w| w.residency.clone());
+    let residency = route.residency.and(&allowed);
+    if residency.is_nowhere() {
+        return Err(refused(Reason::Nowhere));
+    }
     let time = asked.min(route.timeout);
     if time == Ms::ZERO {
         return Err(refused(Reason::NoTime));
@@ -178,6 +188,7 @@
         service,
         catalog: catalog.clone(),
         workspace,
+        residency,
         parts,
         body,
         arrived,
--- a/crates/edge/src/send.rs
+++ b/crates/edge/src/send.rs
@@ -12,11 +12,15 @@
 
 use crate::core::Core;
 use crate::dialect::AnswerHead;
+use crate::gate::{self, Barrier};
 use crate::links::{Link, OpenAt};
 
 /// How a send failed, by what is known of the request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
 pub(crate) enum SendFault {
+    /// The target may not get it now: nothing was sent.
+    #[error("the target may not get it now: {}", .0.name())]
+    Barred(Barrier),
     /// No connection: nothing was sent.
     #[error("no connection")]
     NoConnection,
@@ -34,12 +38,13 @@
 impl SendFault {
     /// Whether the target surely did not get the request.
     pub(crate) const fn unsent(self) -> bool {
-        matches!(self, Self::NoConnection)
+        matches!(self, Self::NoConnection | Self::Barred(_))
     }
 
     /// Its name in logs.
     pub(crate) const fn name(self) -> &'static str {
         match self {
+            Self::Barred(barrier) => barrier.name(),
             Self::NoConnection => "no_connection",
             Self::Broken => "broken",
             Self::Silent => "silent",
@@ -53,7 +58,7 @@
             Self::Broken => Some(Outcome::Broken),
             Self::Silent => Some(Outcome::Silent),
             // Another caller's late answer says nothing of how this one fares.
-            Self::Mismatch => None,
+            Self::Barred(_) | Self::Mismatch => None,
         }
     }
 }
@@ -118,9 +123,11 @@
     let open = link.begin();
     let end = core.clock.now() + wait;
     let mut conn = connect(link, Freshness::Reuse).await?;
+    gate::pass(core, link).map_err(SendFault::Barred)?;
     let mut result = conn.send(build().map(full), end - core.clock.now()).await;
     if let Err(LinkError::Unsent) = result {
         conn = connect(link, Freshness::New).await?;
+        gate::pass(core, link).map_err(SendFault::Barred)?;
         result = conn.send(build().map(full), end - core.clock.now()).await;
     }
     let response = result.map_err(|err| match err {
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -82,6 +82,15 @@
     pub config_ms: Ms,
     /// Time within which a leaving target gets nothing new. Default 2500.
     pub drain_ms: Ms,
+    /// Time within which targets of an evacuated failure domain get nothing new. Default: domains
+    /// are never evacuated.
+    pub evacuate_ms: Option<Ms>,
+    /// Time between registrations of a target. Default 1200.
+    pub heartbeat_ms: Ms,
+    /// What a cold target may get in a second, as a multiple of its service's rate. Default 1.
+    pub cold_factor: Option<f64>,
+    /// Requests that a cold target may get in a second besides. Default 0.
+    pub cold_slack: Option<f64>,
     /// Time from the signal to stop until the process is killed, s. Default 8.
     pub grace_s: f64,
     /// Second sends to a service for each request, over the fleet. Default 0.2.
@@ -103,6 +112,10 @@
             revoke_ms: Ms(5_000),
             config_ms: Ms(2_500),
             drain_ms: Ms(2_500),
+            evacuate_ms: None,
+            heartbeat_ms: Ms(1_200),
+            cold_factor: None,
+            cold_slack: None,
             grace_s: 8.0,
             retry_ratio: 0.2,
             retry_slack: 50.0,
@@ -131,6 +144,10 @@
             revoke_ms,
             config_ms,
             drain_ms,
+            evacuate_ms,
+            heartbeat_ms,
+            cold_factor,
+            cold_slack,
             grace_s,
             retry_ratio,
             retry_slack,
@@ -141,6 +158,10 @@
             ("revoke_ms", revoke_ms >= Ms(500), "at least 500"),
             ("config_ms", config_ms >= Ms(500), "at least 500"),
             ("drain_ms", drain_ms >= Ms(1_200), "at least 1200"),
+            ("evacuate_ms", evacuate_ms.is_none_or(|b| b >= Ms(1_500)), "at least 1500"),
+            ("heartbeat_ms", heartbeat_ms > Ms::ZERO, "above 0"),
+            ("cold_factor", cold_factor.is_none_or(|f| f >= 0.0), "at least 0"),
+            ("cold_slack", cold_slack.is_none_or(|s| s >= 0.0), "at least 0"),
             ("grace_s", grace_s >= 1.0, "at least 1"),
             ("retry_ratio", (0.0..=10.0).contains(&retry_ratio), "0 to 10"),
             ("retry_slack", retry_slack >= 0.0, "at least 0"),
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -1,7 +1,7 @@
 //! What hosts tell each other of the platform's store: the configuration, the targets, and how old
 //! the proof is that the configuration is the newest.
 
-use base::Ms;
+use base::{DomainId, Ms};
 use bytes::Bytes;
 use catalog::{Entry, Missing, TargetState, Update};
 use flate2::Compression;
@@ -9,7 +9,7 @@
 use std::io::{self, Read};
 use std::sync::{Arc, Mutex, PoisonError};
 use thiserror::Error;
-use wire::{StoreNews, StoreQuery, TargetEntry, TargetUpdate};
+use wire::{Evacuation, StoreNews, StoreQuery, TargetEntry, TargetUpdate};
 
 use crate::core::Core;
 use crate::directory::{Declared, Directory, DirectoryError};
@@ -74,7 +74,9 @@
         let news = news(core, &query, arrived);
         let rest = end - core.clock.now();
         let young = query.urgent && !core.blind();
-        if young || !news.catalog.is_empty() || !news.updates.is_empty() || rest == Ms::ZERO {
+        let newer = news.evacuation.as_ref().is_some_and(|e| e.revision > query.evacuation);
+        let changed = newer || !news.catalog.is_empty() || !news.updates.is_empty();
+        if young || changed || rest == Ms::ZERO {
             core.sources().asked(core.clock.now());
             return news;
         }
@@ -99,16 +101,38 @@
     let proof = core.proved();
     StoreNews {
         proved: proof.is_some(),
-        proof_ms: proof.map_or(0, |at| arrived.0 as i64 - at.0 as i64),
+        proof_ms: proof.map_or(0, |at| age(arrived, at)),
         version,
         catalog: catalog.map(Vec::from).unwrap_or_default(),
         revision: core.revision().unwrap_or_default(),
         updates,
         whole,
         lapse_ms: core.lapse_rest().0,
+        evacuation: evacuation(core, arrived),
     }
 }
 
+fn evacuation(core: &Core, arrived: Ms) -> Option<Evacuation> {
+    let evacuations = core.gate.evacuations();
+    let proved = evacuations.proved()?;
+    let domains = evacuations.domains().iter().map(|d| d.as_str().to_owned());
+    Some(Evacuation {
+        revision: evacuations.changed()?,
+        domains: domains.collect(),
+        proof_ms: age(arrived, proved),
+    })
+}
+
+/// Time from a read's sending to the arrival of a query, ms.
+fn age(arrived: Ms, proved: Ms) -> i64 {
+    arrived.0 as i64 - proved.0 as i64
+}
+
+/// When the read was sent of which another host that was asked at `sent` tells this age.
+fn proved(core: &Core, sent: Ms, age: i64) -> Ms {
+    Ms(sent.0.saturating_add_signed(age.saturating_neg())).min(core.clock.now())
+}
+
 fn updates(core: &Core, revision: u64) -> (Vec<TargetUpdate>, bool) {
     match core.missing(revision) {
         // It knows no target yet itself.
@@ -135,6 +159,12 @@
     if news.lapse_ms > 0 {
         core.lapsed(core.clock.now() + Ms(news.lapse_ms));
     }
+    // Before the targets: those of an evacuated domain get nothing from the start.
+    if let Some(told) = &news.evacuation {
+        let domains = told.domains.iter().map(|d| DomainId::from(d.as_str())).collect();
+        let at = proved(core, sent, told.proof_ms);
+        core.take_evacuations(|held| held.told(at, told.revision, domains));
+    }
     take_targets(core, &news);
     let found = match news.catalog.is_empty() {
         true => None,
@@ -145,8 +175,7 @@
         return Err(NewsError::Withheld(news.version));
     }
     if news.proved {
-        let proved = Ms(sent.0.saturating_add_signed(news.proof_ms.saturating_neg()));
-        core.take_catalog(proved.min(core.clock.now()), found.as_ref());
+        core.take_catalog(proved(core, sent, news.proof_ms), found.as_ref());
     }
     Ok(())
 }
--- a/crates/edge/src/source.rs
+++ b/crates/edge/src/source.rs
@@ -23,6 +23,8 @@
 /// The same of the time in which a leaving target must get nothing new: two readers in a row may
 /// be lost.
 const WAIT_TARGETS: u64 = 24;
+/// The same of the time in which an evacuated failure domain must get nothing.
+const WAIT_EVACUATION: u64 = 20;
 /// Time between looks at who reads, while it is this host, ms.
 const LOOK: Ms = Ms(250);
 
@@ -74,7 +76,7 @@
 }
 
 fn loaded(core: &Core) -> bool {
-    core.version().is_some() && core.revision().is_some()
+    core.version().is_some() && core.revision().is_some() && core.knows_evacuations()
 }
 
 fn next(core: &Core) -> Next {
@@ -105,7 +107,9 @@
 
 fn wait(core: &Core) -> Ms {
     let bounds = &core.settings().bounds;
-    bounds.revoke_ms.scale(WAIT_KEYS, 100).min(bounds.drain_ms.scale(WAIT_TARGETS, 100))
+    let evacuation = bounds.evacuate_ms.map_or(Ms::MAX, |b| b.scale(WAIT_EVACUATION, 100));
+    let targets = bounds.drain_ms.scale(WAIT_TARGETS, 100);
+    bounds.revoke_ms.scale(WAIT_KEYS, 100).min(targets).min(evacuation)
 }
 
 async fn ask(core: &Arc<Core>, directory: &dyn Directory, host: &HostId, addr: SocketAddr) {
@@ -114,6 +118,7 @@
         revision: core.revision().unwrap_or_default(),
         wait_ms: wait(core).0,
         urgent: core.blind(),
+        evacuation: core.gate.evacuations().changed().unwrap_or_default(),
     };
     let sent = core.clock.now();
     let answer = core.members.peers().store(addr, query).await;
--- a/crates/edge/src/stages.rs
+++ b/crates/edge/src/stages.rs
@@ -1,6 +1,6 @@
 //! The stages of one request: each handed in as soon as those that it reads are done.
 
-use base::{DomainId, Ms, PoolId};
+use base::{DomainId, Ms, PoolId, RegionId};
 use catalog::Batch;
 use futures::StreamExt;
 use futures::future::BoxFuture;
@@ -35,6 +35,7 @@
     match end {
         Ok(()) => Ok(run.close()),
         Err(_) if call.left(app.core.clock.now()) == Ms::ZERO => Err(Reason::NoTime),
+        Err(StageFault::Outside) => Err(Reason::Outside),
         Err(StageFault::Late(wait)) => Err(Reason::Stages(wait.max(longest_call(call)))),
         Err(StageFault::Gone | StageFault::Failed) => Err(Reason::Stages(longest_call(call))),
     }
@@ -206,10 +207,15 @@
             }
             self.begun[i] = Some(self.app.core.clock.now());
             let domain = self.domain(i);
-            let settings = self.app.core.settings();
-            let region = settings.region_of(&domain).unwrap_or(settings.region()).clone();
+            let Some(region) = self.region(i, &domain) else {
+                self.working.push(Box::pin(async move { (i, Err(StageFault::Outside)) }));
+                continue;
+            };
             let mut work = self.work(i, pieces);
-            work.home = domain.as_str().to_owned();
+            // Where it may not be, there is no domain that it should be in.
+            if self.app.core.settings().region_of(&domain) == Some(&region) {
+                work.home = domain.as_str().to_owned();
+            }
             work.release = self.release(i);
             let app = self.app.clone();
             let service = stage.service.clone();
@@ -260,6 +266,24 @@
         domain.unwrap_or_else(|| self.app.core.settings().domain.clone())
     }
 
+    /// The region whose composer makes a stage that should be done in `domain`: that domain's, or
+    /// one that the request may be in; none where no such region has a target.
+    fn region(&self, i: usize, domain: &DomainId) -> Option<RegionId> {
+        let core = &self.app.core;
+        let settings = core.settings();
+        let near = settings.region_of(domain).unwrap_or(settings.region());
+        let residency = &self.call.residency;
+        if residency.allows(near) {
+            return Some(near.clone());
+        }
+        let links = core.links();
+        let targets = links.of(&self.call.route.stages[i].service).iter();
+        let regions = targets.filter_map(|l| settings.region_of(&l.entry.domain));
+        // All stages of a request are made in one region, so that results don't cross.
+        let key = self.call.ask.id.as_bytes();
+        base::rendezvous(key, regions.filter(|r| residency.allows(r)), |r| r.as_str()).cloned()
+    }
+
     /// What only this stage reads, for its composer to give up.
     fn release(&mut self, i: usize) -> Vec<StageRelease> {
         let stages = &self.call.route.stages;
@@ -292,6 +316,7 @@
             bytes: stage.bytes,
             reads: self.reads(i),
             home: String::new(),
+            regions: self.call.residency.regions().iter().map(|r| r.as_str().to_owned()).collect(),
             passed_on: false,
             release: Vec::new(),
         }
--- a/crates/edge/src/submit.rs
+++ b/crates/edge/src/submit.rs
@@ -18,6 +18,8 @@
     Late(Ms),
     /// Its targets failed.
     Failed,
+    /// No target is in a region that its request may be in.
+    Outside,
 }
 
 impl StageFault {
@@ -27,6 +29,7 @@
             Self::Gone => "gone",
             Self::Late(_) => "late",
             Self::Failed => "failed",
+            Self::Outside => "outside",
         }
     }
 }
@@ -81,6 +84,7 @@
     let fault = |f: PieceFault| results.iter().any(|r| r.fault() == f);
     let failed = match () {
         () if results.is_empty() => Some(StageFault::Failed),
+        () if fault(PieceFault::Outside) => Some(StageFault::Outside),
         () if fault(PieceFault::Gone) => Some(StageFault::Gone),
         () if fault(PieceFault::Late) => Some(StageFault::Late(wait)),
         () if fault(PieceFault::Room) || fault(PieceFault::Failed) => Some(StageFault::Failed),
--- a/crates/edge/tests/settings.rs
+++ b/crates/edge/tests/settings.rs
@@ -62,6 +62,16 @@
         ("bounds.revokeMs|json", "4000"),
         ("bounds.configApplyMs|json", "2500"),
         ("bounds.drainMs|json", "2500"),
+        ("heartbeatMs|json", "1200"),
+        ("#bounds.evacuateMs", ""),
+        ("bounds.evacuateMs|json", "5000"),
+        ("/bounds.evacuateMs", ""),
+        ("#bounds.warmupOverage", ""),
+        ("bounds.warmupOverage|json", "1.5"),
+        ("/bounds.warmupOverage", ""),
+        ("#bounds.warmupSlack", ""),
+        ("bounds.warmupSlack|json", "5"),
+        ("/bounds.warmupSlack", ""),
         ("bounds.graceS|json", "8"),
         ("bounds.retryBudgetRatio|json", "0.2"),
         ("bounds.budgetSlack|json", "52"),
@@ -76,4 +86,6 @@
     let settings = Settings::parse(&text).unwrap();
     assert_eq!((settings.seeds.len(), settings.bounds.revoke_ms), (2, Ms(4_000)));
     assert_eq!(settings.cores, 0.25);
+    let bounds = &settings.bounds;
+    assert_eq!((bounds.evacuate_ms, bounds.cold_factor), (Some(Ms(5_000)), Some(1.5)));
 }
--- a/crates/logs/src/event.rs
+++ b/crates/logs/src/event.rs
@@ -83,6 +83,9 @@
     StageCallEnded = 312, Debug, "A call to a stage target ended: what was made, and what still waits.";
     InputsGone = 313, Warn, "An engine found the results of a request's stages gone; the stages are done again.";
     ConnectionsDropped = 314, Warn, "Connections to several targets went silent at once; all idle ones are dropped.";
+    TargetCold = 315, Info, "A target says that it has gone cold; it gets little for some time.";
+    EvacuationBegun = 316, Info, "A failure domain is evacuated; its targets get nothing.";
+    EvacuationEnded = 317, Info, "A failure domain is no longer evacuated; its targets are taken to be cold.";
     JournalUnavailable = 400, Warn, "A key could not be recorded; its request was refused.";
     FinishRetried = 401, Warn, "How a keyed request ended could not be recorded yet; it is tried again.";
     FinishLost = 402, Error, "How a keyed request ended could not be recorded; re-sends are told that it is unknown.";
--- a/crates/model/src/stages/play.rs
+++ b/crates/model/src/stages/play.rs
@@ -157,7 +157,13 @@
     pub(super) fn tell_targets(&mut self, unit: usize, targets: &[usize]) {
         let places = targets
             .iter()
-            .map(|t| Place { id: name(*t), born: 1, domain: DomainId::from("only") })
+            .map(|t| Place {
+                id: name(*t),
+                born: 1,
+                domain: DomainId::from("only"),
+                region: None,
+                reserved: false,
+            })
             .collect();
         self.feed(unit, Event::Targets(places));
     }
--- a/crates/model/src/stages/requests.rs
+++ b/crates/model/src/stages/requests.rs
@@ -1,6 +1,7 @@
 //! Requests on their way through their stages.
 
 use base::Ms;
+use catalog::Residency;
 use rand::RngExt;
 use sched::batch::{Event, Piece, PieceEnd, PieceId, Source};
 
@@ -66,6 +67,7 @@
             rank: request.kind.rank,
             bytes: declared.bytes,
             home: None,
+            residency: Residency::Anywhere,
         };
         let (service, host, count) = (declared.service, request.host, request.left[stage]);
         let unit = self.unit(service, host);
--- a/crates/sched/src/batch/mod.rs
+++ b/crates/sched/src/batch/mod.rs
@@ -91,7 +91,7 @@
             Event::Submit(pieces) => self.submit(now, pieces, out),
             Event::Withdraw(ids) => ids.iter().for_each(|id| drop(self.pieces.remove(id))),
             Event::Ended(call, end) => self.ended(now, call, end, out),
-            Event::Targets(places) => self.places(&places),
+            Event::Targets(places) => self.places(&places, out),
             Event::Shape(shape) => self.shape = shape,
             Event::Freed(target, handle) => {
                 if let Some(target) = self.targets.get_mut(&target) {
@@ -198,6 +198,10 @@
             self.budget.request(now, &self.service);
         }
         for (id, piece) in pieces {
+            if self.outside(&piece) {
+                out.push(Effect::End { piece: id, end: PieceEnd::Outside, target: None });
+                continue;
+            }
             // Known to be hopeless: it isn't kept waiting.
             if self.wait_of(now, &piece).is_some_and(|wait| now + wait > piece.expires) {
                 out.push(Effect::End { piece: id, end: PieceEnd::Late, target: None });
@@ -207,7 +211,7 @@
         }
     }
 
-    fn places(&mut self, places: &[Place]) {
+    fn places(&mut self, places: &[Place], out: &mut Vec<Effect>) {
         for (id, target) in &mut self.targets {
             target.live = places.iter().any(|p| p.id == *id && p.born == target.born);
         }
@@ -216,12 +220,20 @@
         for place in places {
             match self.targets.get(&place.id) {
                 Some(known) if known.born == place.born => {}
-                _ => drop(
-                    self.targets
-                        .insert(place.id.clone(), Target::new(place.born, place.domain.clone())),
-                ),
+                _ => drop(self.targets.insert(place.id.clone(), Target::new(place))),
             }
         }
+        // The last target that they were allowed at is gone: they aren't kept waiting.
+        let outside =
+            |(id, w): (&PieceId, &Waiting)| (w.queued && self.outside(&w.piece)).then_some(*id);
+        let outside: Vec<PieceId> = self.pieces.iter().filter_map(outside).collect();
+        outside.into_iter().for_each(|id| self.finish(id, PieceEnd::Outside, out));
+    }
+
+    /// Whether no target is in a region that a piece's request may be in, though there are targets.
+    fn outside(&self, piece: &Piece) -> bool {
+        let mut live = self.targets.values().filter(|t| t.live).peekable();
+        live.peek().is_some() && live.all(|t| !t.allows(piece))
     }
 
     fn ended(&mut self, now: Ms, call: CallId, end: CallEnd, out: &mut Vec<Effect>) {
@@ -399,12 +411,13 @@
     fn choose(&self, now: Ms, id: &TargetId, others: &HashSet<&DomainId>) -> Vec<PieceId> {
         let Some(target) = self.targets.get(id) else { return Vec::new() };
         let far = |w: &Waiting| w.piece.home.as_ref().is_some_and(|home| *home != target.domain);
+        let allowed = |w: &Waiting| target.allows(&w.piece);
         let for_other =
             |w: &Waiting| far(w) && w.piece.home.as_ref().is_some_and(|h| others.contains(h));
         let queued: Vec<order::Queued<'_>> = self
             .pieces
             .iter()
-            .filter(|(_, w)| w.queued && !for_other(w))
+            .filter(|(_, w)| w.queued && allowed(w) && !for_other(w))
             .map(|(id, w)| order::Queued { id: *id, piece: &w.piece, since: w.since, far: far(w) })
             .collect();
         let count = queued.len().min(self.shape.size);
--- a/crates/sched/src/batch/target.rs
+++ b/crates/sched/src/batch/target.rs
@@ -1,9 +1,11 @@
 //! One stage target as its composer sees it.
 
-use base::{DomainId, Ms};
+use base::{DomainId, Ms, RegionId};
+
+use catalog::Residency;
 
 use super::room::Room;
-use super::{CallEnd, CallId, PieceEnd};
+use super::{CallEnd, CallId, Piece, PieceEnd, Place};
 
 /// A call is overdue at this multiple of its expected time, plus [`OVERDUE_SLACK`]: pieces of one
 /// service differ by up to three times, and a slow target takes four to eight times as long.
@@ -50,6 +52,8 @@
 pub(super) struct Target {
     pub(super) born: u64,
     pub(super) domain: DomainId,
+    region: Option<RegionId>,
+    reserved: bool,
     pub(super) live: bool,
     open: Vec<Open>,
     speed: f64,
@@ -63,10 +67,12 @@
 }
 
 impl Target {
-    pub(super) fn new(born: u64, domain: DomainId) -> Self {
+    pub(super) fn new(place: &Place) -> Self {
         Self {
-            born,
-            domain,
+            born: place.born,
+            domain: place.domain.clone(),
+            region: place.region.clone(),
+            reserved: place.reserved,
             live: true,
             open: Vec::new(),
             speed: 1.0,
@@ -79,6 +85,12 @@
         }
     }
 
+    /// Whether a piece may be made here.
+    pub(super) fn allows(&self, piece: &Piece) -> bool {
+        let limited = piece.residency != Residency::Anywhere;
+        piece.residency.allows_place(self.region.as_ref()) && (limited || !self.reserved)
+    }
+
     pub(super) fn busy(&self) -> bool {
         !self.open.is_empty()
     }
--- a/crates/sched/src/batch/types.rs
+++ b/crates/sched/src/batch/types.rs
@@ -1,7 +1,7 @@
 //! What a batcher is told, and what it asks for.
 
-use base::{DomainId, Ms, TargetId};
-use catalog::Batch;
+use base::{DomainId, Ms, RegionId, TargetId};
+use catalog::{Batch, Residency};
 use std::sync::Arc;
 
 /// A piece at this batcher.
@@ -42,6 +42,8 @@
     pub bytes: u64,
     /// Failure domain in which it should be made; none for any.
     pub home: Option<DomainId>,
+    /// Regions that its request may be in.
+    pub residency: Residency,
 }
 
 /// How a piece ended.
@@ -57,6 +59,8 @@
     Room,
     /// The targets failed.
     Failed,
+    /// No target is in a region that its request may be in.
+    Outside,
 }
 
 /// How a call ended.
@@ -85,6 +89,11 @@
     pub born: u64,
     /// Where it is.
     pub domain: DomainId,
+    /// The region of that; none when it isn't known.
+    pub region: Option<RegionId>,
+    /// Whether it is for pieces alone that may be made nowhere nearer: it is in a region where no
+    /// host is alive to compose its calls.
+    pub reserved: bool,
 }
 
 /// What happened.
--- /dev/null
+++ b/crates/sched/src/evacuation.rs
@@ -0,0 +1,139 @@
+//! *Evacuation*: failure domains whose targets get nothing.
+//!
+//! Answers: an operator empties a failure domain, takes that back and orders it again, while hosts
+//! learn of it from the store or from each other, in any order. Without an order of what is heard,
+//! word of an older state brings work back to a domain that must stay empty.
+//!
+//! | what is heard | what follows |
+//! |---|---|
+//! | the whole list, at a revision of the store that isn't older than what is held | it holds |
+//! | changes after the revision that is held | they hold |
+//! | another host's list, which last changed at a later revision than the own one | it holds |
+//! | the same or an older one | ignored |
+//!
+//! What is held is proved by the *sending* of the read: a domain may have been evacuated right after
+//! the store looked. A watch that ended without a change proves the moment at which it was sent, since
+//! it may have been mute.
+
+use base::{DomainId, Ms};
+use std::collections::BTreeSet;
+
+/// What became of one failure domain.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum EvacuationEvent {
+    /// Its targets get nothing from now on.
+    Begun(DomainId),
+    /// It was taken back: its targets may have gone cold meanwhile.
+    Ended(DomainId),
+}
+
+/// One change of an evacuation's object.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum EvacuationChange {
+    /// The domain is evacuated.
+    Set(DomainId),
+    /// It no longer is.
+    Removed(DomainId),
+}
+
+/// The evacuated domains, as far as this host knows.
+#[derive(Clone, Debug, Default)]
+pub struct Evacuations {
+    domains: BTreeSet<DomainId>,
+    /// The store's revision up to which they are known; none before the first list.
+    known: Option<u64>,
+    /// The revision at which they last changed.
+    changed: u64,
+    proved: Option<Ms>,
+}
+
+impl Evacuations {
+    /// Takes the whole list, read at `revision` by a call that was sent at `sent`.
+    pub fn list(
+        &mut self,
+        sent: Ms,
+        revision: u64,
+        domains: BTreeSet<DomainId>,
+    ) -> Vec<EvacuationEvent> {
+        if self.known.is_some_and(|known| revision < known) {
+            return Vec::new();
+        }
+        self.known = Some(revision);
+        self.proved = self.proved.max(Some(sent));
+        self.replace(revision, domains)
+    }
+
+    /// Takes all changes from the revision that is held up to `revision`.
+    pub fn changes(
+        &mut self,
+        sent: Ms,
+        revision: u64,
+        changes: impl IntoIterator<Item = EvacuationChange>,
+    ) -> Vec<EvacuationEvent> {
+        // Without a list there is nothing that changes could be added to.
+        let Some(known) = self.known else { return Vec::new() };
+        if revision < known {
+            return Vec::new();
+        }
+        let mut domains = self.domains.clone();
+        for change in changes {
+            match change {
+                EvacuationChange::Set(domain) => drop(domains.insert(domain)),
+                EvacuationChange::Removed(domain) => drop(domains.remove(&domain)),
+            }
+        }
+        self.known = Some(revision);
+        self.proved = self.proved.max(Some(sent));
+        self.replace(revision, domains)
+    }
+
+    /// Takes another host's list, which last changed at `changed` and was proved at `proved`.
+    pub fn told(
+        &mut self,
+        proved: Ms,
+        changed: u64,
+        domains: BTreeSet<DomainId>,
+    ) -> Vec<EvacuationEvent> {
+        // An older list proves nothing: it lacks what this host knows.
+        if self.known.is_some() && changed < self.changed {
+            return Vec::new();
+        }
+        self.proved = self.proved.max(Some(proved));
+        if self.known.is_some() && changed == self.changed {
+            return Vec::new();
+        }
+        self.known = self.known.max(Some(changed));
+        self.replace(changed, domains)
+    }
+
+    fn replace(&mut self, revision: u64, domains: BTreeSet<DomainId>) -> Vec<EvacuationEvent> {
+        let begun = domains.difference(&self.domains).cloned().map(EvacuationEvent::Begun);
+        let ended = self.domains.difference(&domains).cloned().map(EvacuationEvent::Ended);
+        let events: Vec<EvacuationEvent> = begun.chain(ended).collect();
+        if !events.is_empty() || self.changed == 0 {
+            self.changed = revision;
+        }
+        self.domains = domains;
+        events
+    }
+
+    /// The evacuated domains.
+    pub fn domains(&self) -> &BTreeSet<DomainId> {
+        &self.domains
+    }
+
+    /// The store's revision up to which they are known; none before the first list.
+    pub fn known(&self) -> Option<u64> {
+        self.known
+    }
+
+    /// The store's revision at which they last changed; none before the first list.
+    pub fn changed(&self) -> Option<u64> {
+        self.known.map(|_| self.changed)
+    }
+
+    /// When the read was sent that is the last proof of them; none before the first.
+    pub fn proved(&self) -> Option<Ms> {
+        self.proved
+    }
+}
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -15,6 +15,9 @@
 //! | [`duty`] | few large hosts among many small ones | what one host does for many falls to a small one |
 //! | [`source`] | hundreds of hosts that follow one store | its load grows with the fleet; a change wakes all hosts there |
 //! | [`comeback`] | refused callers | they return at once, or all together |
+//! | [`evacuation`] | a failure domain that is emptied, from several sources | old word brings work back to it |
+//! | [`roster`] | a cut through the fleet | each side takes the whole of a common limit |
+//! | [`warmup`] | targets that come back cold into a burst | they fall over again |
 
 pub mod batch;
 pub mod budget;
@@ -22,10 +25,13 @@
 pub mod directory;
 pub mod duty;
 pub mod estimate;
+pub mod evacuation;
 pub mod health;
 pub mod offload;
 pub mod place;
 pub mod poison;
 pub mod reading;
+pub mod roster;
 pub mod sample;
 pub mod source;
+pub mod warmup;
--- a/crates/sched/tests/common/mod.rs
+++ b/crates/sched/tests/common/mod.rs
@@ -3,7 +3,7 @@
 #![allow(dead_code, reason = "each test file uses a part")]
 
 use base::{DomainId, Ms, PoolId, TargetId};
-use catalog::Batch;
+use catalog::{Batch, Residency};
 use sched::batch::{
     Batcher, CallEnd, CallId, Effect, Event, Piece, PieceEnd, PieceId, Place, Source,
 };
@@ -51,7 +51,13 @@
     pub fn targets(&mut self, names: &[&str]) {
         let place = |name: &&str| {
             let (id, domain) = name.split_once(':').unwrap_or((*name, "one"));
-            Place { id: TargetId::from(id), born: 1, domain: DomainId::from(domain) }
+            Place {
+                id: TargetId::from(id),
+                born: 1,
+                domain: DomainId::from(domain),
+                region: Some(domain.into()),
+                reserved: false,
+            }
         };
         self.feed(Event::Targets(names.iter().map(place).collect()));
     }
@@ -90,6 +96,7 @@
                 rank: 1,
                 bytes: KB,
                 home: None,
+                residency: Residency::Anywhere,
             };
             with(&mut piece);
             self.next += 1;
--- a/crates/sched/tests/load.rs
+++ b/crates/sched/tests/load.rs
@@ -5,7 +5,7 @@
 //! stage ends within 900 ms, about twice a full call.
 
 use base::{DomainId, Ms, PoolId, TargetId};
-use catalog::Batch;
+use catalog::{Batch, Residency};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use sched::batch::{
@@ -82,7 +82,13 @@
             in_time: 0,
         };
         let places: Vec<Place> = (0..TARGETS)
-            .map(|t| Place { id: target(t), born: 1, domain: DomainId::from("d") })
+            .map(|t| Place {
+                id: target(t),
+                born: 1,
+                domain: DomainId::from("d"),
+                region: None,
+                reserved: false,
+            })
             .collect();
         (0..hosts).for_each(|h| world.feed(h, Event::Targets(places.clone())));
         world
@@ -140,6 +146,7 @@
             rank: 1,
             bytes: 1,
             home: None,
+            residency: Residency::Anywhere,
         };
         let pieces = (0..PIECES).map(|i| (PieceId(request * PIECES + i), piece(i))).collect();
         self.feed(host, Event::Submit(pieces));
--- a/crates/sched/tests/small.rs
+++ b/crates/sched/tests/small.rs
@@ -1,7 +1,7 @@
 //! Budget, poison, health, estimates and the time to come back.
 
 use base::{Ms, PoolId, TargetId};
-use catalog::{Backend, Batch, Repeat, Route, Stage};
+use catalog::{Backend, Batch, Repeat, Residency, Route, Stage};
 use sched::budget::{Allowance, Budget};
 use sched::comeback::retry_after;
 use sched::estimate::Estimate;
@@ -147,6 +147,7 @@
         attempts: 1,
         stages: vec![stage(vec![]), stage(vec![]), stage(vec![1]), stage(vec![2])],
         public: false,
+        residency: Residency::Anywhere,
     };
     let estimate = Estimate::default();
     let first = Ms(80);
--- a/crates/wire/src/gen/siskinwheel.v1.rs
+++ b/crates/wire/src/gen/siskinwheel.v1.rs
@@ -724,6 +724,9 @@
     /// Failure domain where most of what it reads lies, or its own results are read; empty for any.
     #[prost(string, tag = "14")]
     pub home: ::prost::alloc::string::String,
+    /// Regions that the request may be in; empty for any.
+    #[prost(string, repeated, tag = "15")]
+    pub regions: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
 }
 /// Results that are given up at the host that composed the calls that made them.
 #[derive(serde::Serialize, serde::Deserialize)]
@@ -879,6 +882,9 @@
     /// The asker's proof is old: the answer waits for a young one and for nothing else.
     #[prost(bool, tag = "4")]
     pub urgent: bool,
+    /// Revision at which the evacuated domains that it holds last changed; 0 for none.
+    #[prost(uint64, tag = "5")]
+    pub evacuation: u64,
 }
 /// What a host knows of the platform's store.
 #[derive(serde::Serialize, serde::Deserialize)]
@@ -910,6 +916,24 @@
     /// Time for which targets that are missing count as lapsed in an outage of the store, ms.
     #[prost(uint64, tag = "8")]
     pub lapse_ms: u64,
+    /// Failure domains whose targets get nothing; none when the host doesn't know them.
+    #[prost(message, optional, tag = "9")]
+    pub evacuation: ::core::option::Option<Evacuation>,
+}
+/// Failure domains whose targets get nothing.
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(default)]
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Evacuation {
+    /// The store's revision at which they last changed.
+    #[prost(uint64, tag = "1")]
+    pub revision: u64,
+    #[prost(string, repeated, tag = "2")]
+    pub domains: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    /// Time from the sending of the read that proves them to the arrival of the query, ms; below zero
+    /// when it was sent after the query had come.
+    #[prost(sint64, tag = "3")]
+    pub proof_ms: i64,
 }
 /// What became of a target.
 #[derive(serde::Serialize, serde::Deserialize)]
@@ -1126,6 +1150,8 @@
     Gone = 2,
     Room = 3,
     Failed = 4,
+    /// No target is in a region that the request may be in.
+    Outside = 5,
 }
 impl PieceFault {
     /// String value of the enum field names used in the ProtoBuf definition.
@@ -1139,6 +1165,7 @@
             Self::Gone => "PIECE_FAULT_GONE",
             Self::Room => "PIECE_FAULT_ROOM",
             Self::Failed => "PIECE_FAULT_FAILED",
+            Self::Outside => "PIECE_FAULT_OUTSIDE",
         }
     }
     /// Creates an enum from field names used in the ProtoBuf definition.
@@ -1149,6 +1176,7 @@
             "PIECE_FAULT_GONE" => Some(Self::Gone),
             "PIECE_FAULT_ROOM" => Some(Self::Room),
             "PIECE_FAULT_FAILED" => Some(Self::Failed),
+            "PIECE_FAULT_OUTSIDE" => Some(Self::Outside),
             _ => None,
         }
     }
