--- a/crates/sched/src/evacuation.rs
+++ b/crates/sched/src/evacuation.rs
@@ -103,7 +103,10 @@
             return Vec::new();
         }
         self.known = self.known.max(Some(changed));
-        self.replace(changed, domains)
+        let events = self.replace(changed, domains);
+        // Where both say the same, the later revision counts, so that it isn't asked for again.
+        self.changed = changed;
+        events
     }
 
     fn replace(&mut self, revision: u64, domains: BTreeSet<DomainId>) -> Vec<EvacuationEvent> {
--- a/crates/sched/tests/evacuation.rs
+++ b/crates/sched/tests/evacuation.rs
@@ -51,6 +51,16 @@
     assert_eq!(known.told(Ms(600), 41, domains(&[])), [ended("a")]);
 }
 
+/// Guards against a host that asks for the same list again and again: it holds another one that
+/// says the same, of an older revision.
+#[test]
+fn a_newer_list_that_says_the_same_is_known_from_then_on() {
+    let mut known = Evacuations::default();
+    known.list(Ms(1), 10, domains(&["a"]));
+    assert_eq!(known.told(Ms(2), 25, domains(&["a"])), []);
+    assert_eq!(known.changed(), Some(25));
+}
+
 /// Guards against a list that was sent before a change and answered after it.
 #[test]
 fn a_list_of_an_older_revision_is_ignored() {
