siskinwheel-bench cold: five ways to keep to what a cold target stands

Kept: shares, which hold on any cut without a word between hosts. Permits warm a large fleet's domain sooner and are not built.

--- a/bins/siskinwheel-bench/src/main.rs
+++ b/bins/siskinwheel-bench/src/main.rs
@@ -1,7 +1,8 @@
-//! Load and experiment tool: `siskinwheel-bench path|policy|stages|journal|fleet|replay|capacity`.
+//! Load and experiment tool: `siskinwheel-bench path|policy|stages|cold|journal|fleet|replay|capacity`.
 
 mod ablation;
 mod capacity;
+mod cold;
 mod decide;
 mod fleet;
 mod journal;
@@ -29,6 +30,7 @@
   path     what an entry host adds over calling the stand-in directly
   policy   patterns of load by policy, in virtual time; the time of a decision
   stages   who fills the calls of stage targets, in virtual time
+  cold     how hosts keep together to what a cold target stands, in virtual time
   journal  running a key at most once: writes, latency, recovery, outage, by design
   replay   what a host does on a file of events";
 
@@ -56,6 +58,8 @@
         }
         Some("capacity") if args.contains(["-h", "--help"]) => println!("{}", capacity::HELP),
         Some("capacity") => capacity::run(args, &output)?,
+        Some("cold") if args.contains(["-h", "--help"]) => println!("{}", cold::HELP),
+        Some("cold") => cold::run(args, &output)?,
         Some("fleet") if args.contains(["-h", "--help"]) => println!("{}", fleet::HELP),
         Some("fleet") => fleet::run(args, &output)?,
         Some("path") if args.contains(["-h", "--help"]) => println!("{}", path::HELP),
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod cache;
 mod callers;
+pub mod cold;
 mod deploy;
 
 mod faults;
