--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -23,7 +23,7 @@
 /// follow this one hear of the proof later, and may lose a call.
 const PROOF_SHARE: u64 = 20;
 /// Wait for an answer of the store, ms: sixty times its usual time.
-pub(crate) const SILENCE: Ms = Ms(700);
+const SILENCE: Ms = Ms(700);
 /// What is left of the time in which a leaving target must get nothing new when a watch ends, ms:
 /// one that went silent for good is noticed [`SILENCE`] later, and the list read.
 const WATCH_REST: Ms = Ms(1_000);
@@ -248,8 +248,7 @@
     }
 }
 
-/// A call's answer within a bound; none by then counts as the store being away.
-pub(crate) async fn within<T>(
+async fn within<T>(
     bound: Ms,
     call: impl Future<Output = Result<T, DirectoryError>>,
 ) -> Result<T, DirectoryError> {
--- a/crates/sched/src/evacuation.rs
+++ b/crates/sched/src/evacuation.rs
@@ -7,13 +7,11 @@
 //! | what is heard | what follows |
 //! |---|---|
 //! | the whole list, at a revision of the store that isn't older than what is held | it holds |
-//! | changes after the revision that is held | they hold |
 //! | another host's list, which last changed at a later revision than the own one | it holds |
 //! | the same or an older one | ignored |
 //!
 //! What is held is proved by the *sending* of the read: a domain may have been evacuated right after
-//! the store looked. A watch that ended without a change proves the moment at which it was sent, since
-//! it may have been mute.
+//! the store looked.
 
 use base::{DomainId, Ms};
 use std::collections::BTreeSet;
@@ -27,15 +25,6 @@
     Ended(DomainId),
 }
 
-/// One change of an evacuation's object.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum EvacuationChange {
-    /// The domain is evacuated.
-    Set(DomainId),
-    /// It no longer is.
-    Removed(DomainId),
-}
-
 /// The evacuated domains, as far as this host knows.
 #[derive(Clone, Debug, Default)]
 pub struct Evacuations {
@@ -63,30 +52,6 @@
         self.replace(revision, domains)
     }
 
-    /// Takes all changes from the revision that is held up to `revision`.
-    pub fn changes(
-        &mut self,
-        sent: Ms,
-        revision: u64,
-        changes: impl IntoIterator<Item = EvacuationChange>,
-    ) -> Vec<EvacuationEvent> {
-        // Without a list there is nothing that changes could be added to.
-        let Some(known) = self.known else { return Vec::new() };
-        if revision < known {
-            return Vec::new();
-        }
-        let mut domains = self.domains.clone();
-        for change in changes {
-            match change {
-                EvacuationChange::Set(domain) => drop(domains.insert(domain)),
-                EvacuationChange::Removed(domain) => drop(domains.remove(&domain)),
-            }
-        }
-        self.known = Some(revision);
-        self.proved = self.proved.max(Some(sent));
-        self.replace(revision, domains)
-    }
-
     /// Takes another host's list, which last changed at `changed` and was proved at `proved`.
     pub fn told(
         &mut self,
