Engines run where the results that they read lie

Two megabytes of a report's results crossed to an engine beside the host that took the request, though the host neither reads nor writes them. The engine is chosen by the domain of the largest results of the last stages, the host's own where they are small; prompts are told to the hosts of the engine's domain.

--- a/crates/edge/src/choose.rs
+++ b/crates/edge/src/choose.rs
@@ -1,6 +1,6 @@
 //! From the known targets to a choice.
 
-use base::Ms;
+use base::{DomainId, Ms};
 use sched::place::{self, Candidate, Distance};
 use std::sync::Arc;
 
@@ -25,6 +25,8 @@
         copy: Ms,
         /// Lives of engines that have read it, the newest first.
         readers: &'a [String],
+        /// Failure domain where it should run: where the results that it reads lie.
+        home: &'a DomainId,
     },
 }
 
@@ -82,7 +84,7 @@
     let usable: Vec<&Arc<Link>> = links.of(&call.service).iter().filter(|l| serves(l)).collect();
     let age = |l: &Link| readers.iter().position(|r| r == l.life().as_str());
     let known = usable.iter().filter(|l| knows(l, subject, readers));
-    let near = known.min_by_key(|l| (core.distance(&l.entry.domain), age(l)));
+    let near = known.min_by_key(|l| (distance(core, &link.entry.domain, &l.entry.domain), age(l)));
     let named = || base::rendezvous(&subject.to_le_bytes(), usable.iter(), |l| l.name());
     let found = near.or_else(named).map(|l| Arc::clone(l));
     found.filter(|l| l.entry.id != link.entry.id)
@@ -93,14 +95,15 @@
 }
 
 fn candidate<'a>(core: &Core, now: Ms, link: &'a Link, want: Want<'_>) -> Candidate<'a> {
-    let knows = match want {
-        Want::Plain { .. } => false,
-        Want::Engine { subject, readers, .. } => knows(link, subject, readers),
+    let settings = core.settings();
+    let (home, knows) = match want {
+        Want::Plain { .. } => (&settings.domain, false),
+        Want::Engine { subject, readers, home, .. } => (home, knows(link, subject, readers)),
     };
     let health = link.health();
     Candidate {
         name: link.name(),
-        distance: core.distance(&link.entry.domain),
+        distance: distance(core, home, &link.entry.domain),
         slots: link.entry.slots,
         load: link.load(now),
         time: health.time(),
@@ -113,12 +116,12 @@
     }
 }
 
-/// How far a failure domain is.
-pub(crate) fn distance(core: &Core, domain: &base::DomainId) -> Distance {
+/// How far a failure domain is from another.
+fn distance(core: &Core, from: &DomainId, domain: &DomainId) -> Distance {
     let settings = core.settings();
-    match settings.region_of(domain) {
-        _ if *domain == settings.domain => Distance::Domain,
-        Some(region) if region == settings.region() => Distance::Region,
+    match (settings.region_of(from), settings.region_of(domain)) {
+        _ if domain == from => Distance::Domain,
+        (Some(from), Some(region)) if region == from => Distance::Region,
         _ => Distance::Far,
     }
 }
--- a/crates/edge/src/members.rs
+++ b/crates/edge/src/members.rs
@@ -51,15 +51,15 @@
     clock: Arc<dyn Clock>,
     suspects: Mutex<HashMap<HostId, Ms>>,
     crashes: mpsc::UnboundedSender<Crash>,
-    prompts: mpsc::UnboundedSender<PromptSent>,
+    prompts: mpsc::UnboundedSender<(DomainId, PromptSent)>,
 }
 
 /// What is to be told to other hosts.
 pub(crate) struct Told {
     /// Targets that broke under a request.
     pub(crate) crashes: mpsc::UnboundedReceiver<Crash>,
-    /// Prompts sent to engines.
-    pub(crate) prompts: mpsc::UnboundedReceiver<PromptSent>,
+    /// Prompts sent to engines, with the engine's failure domain.
+    pub(crate) prompts: mpsc::UnboundedReceiver<(DomainId, PromptSent)>,
 }
 
 impl Members {
@@ -169,12 +169,12 @@
         let _ = self.crashes.send(crash);
     }
 
-    /// A prompt was sent to an engine that reads it for `time`; the hosts that choose among the
-    /// same engines are told.
-    pub(crate) fn sent(&self, target: &TargetId, time: Ms) {
+    /// A prompt was sent to an engine of `domain` that reads it for `time`; the hosts that choose
+    /// among the same engines are told.
+    pub(crate) fn sent(&self, domain: &DomainId, target: &TargetId, time: Ms) {
         let prompt = PromptSent { target: target.as_str().to_owned(), time_ms: time.0 };
         // The receiver lives as long as the host.
-        let _ = self.prompts.send(prompt);
+        let _ = self.prompts.send((domain.clone(), prompt));
     }
 
     /// Tells all others.
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -176,7 +176,9 @@
             return Sent::Barred(Barrier::NoTarget);
         }
         let subject = self.call.ask.subject();
-        let want = Want::Engine { subject, copy: self.copy_time(), readers: &self.readers };
+        let home = self.results.home().unwrap_or(&self.core.settings().domain).clone();
+        let (copy, readers) = (self.copy_time(), self.readers.as_slice());
+        let want = Want::Engine { subject, copy, readers, home: &home };
         let link = match choose(&self.core, &self.call, want, &self.tried) {
             Ok(link) => link,
             Err(barrier) => return Sent::Barred(barrier),
@@ -188,7 +190,7 @@
         let alone = link.backlog().wait(now) == Ms::ZERO;
         link.backlog().sent(now, time);
         if time >= TOLD {
-            self.core.members.sent(&link.life(), time);
+            self.core.members.sent(&link.entry.domain, &link.life(), time);
         }
         let wait = match self.call.route.repeat.is_idempotent() {
             true if self.runs + 1 < self.call.route.attempts => left.min(FIRST_SILENCE + reading),
--- a/crates/edge/src/results.rs
+++ b/crates/edge/src/results.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use base::{Ms, PoolId};
+use base::{DomainId, Ms, PoolId};
 use wire::{PieceResult, StageFree, StageRelease};
 
 use crate::core::Core;
@@ -34,13 +34,14 @@
 pub(crate) struct Results {
     app: Arc<App>,
     handles: Vec<String>,
+    home: Option<DomainId>,
     held: Mutex<Vec<StageOutput>>,
 }
 
 impl Results {
     /// Nothing yet.
     pub(crate) fn new(app: Arc<App>) -> Self {
-        Self { app, handles: Vec::new(), held: Mutex::default() }
+        Self { app, handles: Vec::new(), home: None, held: Mutex::default() }
     }
 
     /// Holds the results of a stage.
@@ -53,6 +54,16 @@
         self.handles = handles;
     }
 
+    /// Sets the failure domain in which most of what the engine reads lies.
+    pub(crate) fn set_home(&mut self, home: Option<DomainId>) {
+        self.home = home;
+    }
+
+    /// The failure domain in which most of what the engine reads lies; none where that is little.
+    pub(crate) fn home(&self) -> Option<&DomainId> {
+        self.home.as_ref()
+    }
+
     /// Handles that the engine gets.
     pub(crate) fn handles(&self) -> &[String] {
         &self.handles
--- a/crates/edge/src/stages.rs
+++ b/crates/edge/src/stages.rs
@@ -108,6 +108,7 @@
         let mut results = Results::new(self.app.clone());
         let last = self.call.route.last_stages().filter_map(|i| self.done[i].as_ref());
         results.set_handles(last.flat_map(|h| h.iter().cloned()).collect());
+        results.set_home(self.home(self.call.route.last_stages()));
         let held = self.held.iter_mut().filter_map(Option::take);
         held.for_each(|output| results.hold(output));
         results
@@ -252,18 +253,20 @@
     /// the engine reads its results. A stage that was passed on to another region would have its
     /// results cross back otherwise.
     fn domain(&self, i: usize) -> DomainId {
-        let links = self.app.core.links();
-        let stages = &self.call.route.stages;
-        let held = stages[i].after.iter().filter_map(|a| Some((a, self.held[*a].as_ref()?)));
-        let first = |output: &StageOutput| {
-            let target = links.named(&output.results.first()?.target.as_str().into())?.clone();
-            Some(target.entry.domain.clone())
+        let home = self.home(self.call.route.stages[i].after.iter().copied());
+        home.unwrap_or_else(|| self.app.core.settings().domain.clone())
+    }
+
+    /// The failure domain where the largest of these stages' results lie; none where that is little.
+    fn home(&self, stages: impl Iterator<Item = usize>) -> Option<DomainId> {
+        let size = |(i, output): &(usize, &StageOutput)| {
+            self.call.route.stages[*i].bytes * output.results.len() as u64
         };
-        let size = |a: usize, output: &StageOutput| stages[a].bytes * output.results.len() as u64;
-        let large = held.filter(|(a, output)| size(**a, output) >= LARGE);
-        let found = large.max_by_key(|(a, output)| size(**a, output));
-        let domain = found.and_then(|(_, output)| first(output));
-        domain.unwrap_or_else(|| self.app.core.settings().domain.clone())
+        let held = stages.filter_map(|i| Some((i, self.held[i].as_ref()?)));
+        let (_, output) = held.filter(|held| size(held) >= LARGE).max_by_key(size)?;
+        let links = self.app.core.links();
+        let target = links.named(&output.results.first()?.target.as_str().into())?;
+        Some(target.entry.domain.clone())
     }
 
     /// The region whose composer makes a stage that should be done in `domain`: that domain's, or
--- a/crates/edge/src/tell.rs
+++ b/crates/edge/src/tell.rs
@@ -1,6 +1,6 @@
 //! What other hosts should know at once: gathered for a moment, then told in one message each.
 
-use base::{HostId, Ms};
+use base::{DomainId, HostId, Ms};
 use sched::poison::{Audience, audience};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -63,14 +63,20 @@
     }
 }
 
-/// Tells the hosts of the failure domain, which choose among the same engines, of prompts.
+/// Tells the hosts of the engines' failure domains, which choose among the same, of prompts.
 ///
 /// Without it an engine that is idle for one host reads another's long report: with three hosts a
 /// domain half of the prompts that were read before another were other hosts'.
-pub(crate) async fn prompts(core: Arc<Core>, mut told: UnboundedReceiver<PromptSent>) {
+pub(crate) async fn prompts(core: Arc<Core>, mut told: UnboundedReceiver<(DomainId, PromptSent)>) {
     while let Some(prompts) = gather(&mut told, PROMPTS).await {
-        let domain = core.settings().domain.clone();
-        core.members.tell_domain(&domain, HostNews { prompts, ..HostNews::default() }).await;
+        let mut domains: BTreeMap<DomainId, Vec<PromptSent>> = BTreeMap::new();
+        for (domain, prompt) in prompts {
+            domains.entry(domain).or_default().push(prompt);
+        }
+        for (domain, prompts) in domains {
+            let news = HostNews { prompts, ..HostNews::default() };
+            core.members.tell_domain(&domain, news).await;
+        }
     }
 }
 
