Of two lists of evacuations the one that is known further is the newer

Cause: hosts compared when their lists had last changed. A domain that was set and taken back between two looks of one host leaves no trace there, and another host that looked in between overruled it: a young proof stood beside an old list, in which an evacuation could be missing.

--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -74,7 +74,7 @@
         let news = news(core, &query, arrived);
         let rest = end - core.clock.now();
         let young = query.urgent && !core.blind();
-        let newer = news.evacuation.as_ref().is_some_and(|e| e.revision > query.evacuation);
+        let newer = core.gate.evacuations().changed() > Some(query.evacuation);
         let changed = newer || !news.catalog.is_empty() || !news.updates.is_empty();
         if young || changed || rest == Ms::ZERO {
             core.sources().asked(core.clock.now());
@@ -117,7 +117,7 @@
     let proved = evacuations.proved()?;
     let domains = evacuations.domains().iter().map(|d| d.as_str().to_owned());
     Some(Evacuation {
-        revision: evacuations.changed()?,
+        revision: evacuations.known()?,
         domains: domains.collect(),
         proof_ms: age(arrived, proved),
     })
@@ -163,7 +163,7 @@
     if let Some(told) = &news.evacuation {
         let domains = told.domains.iter().map(|d| DomainId::from(d.as_str())).collect();
         let at = proved(core, sent, told.proof_ms);
-        core.take_evacuations(|held| held.told(at, told.revision, domains));
+        core.take_evacuations(|held| held.list(at, told.revision, domains));
     }
     take_targets(core, &news);
     let found = match news.catalog.is_empty() {
--- a/crates/edge/src/source.rs
+++ b/crates/edge/src/source.rs
@@ -118,7 +118,7 @@
         revision: core.revision().unwrap_or_default(),
         wait_ms: wait(core).0,
         urgent: core.blind(),
-        evacuation: core.gate.evacuations().changed().unwrap_or_default(),
+        evacuation: core.gate.evacuations().known().unwrap_or_default(),
     };
     let sent = core.clock.now();
     let answer = core.members.peers().store(addr, query).await;
--- a/crates/sched/src/evacuation.rs
+++ b/crates/sched/src/evacuation.rs
@@ -7,8 +7,8 @@
 //! | what is heard | what follows |
 //! |---|---|
 //! | the whole list, at a revision of the store that isn't older than what is held | it holds |
-//! | another host's list, which last changed at a later revision than the own one | it holds |
-//! | the same or an older one | ignored |
+//! | another host's list, the same | it holds |
+//! | either of an older revision | ignored, and no proof |
 //!
 //! What is held is proved by the *sending* of the read: a domain may have been evacuated right after
 //! the store looked.
@@ -37,7 +37,11 @@
 }
 
 impl Evacuations {
-    /// Takes the whole list, read at `revision` by a call that was sent at `sent`.
+    /// Takes the whole list, read at `revision` by a call that was sent at `sent`, whether this host
+    /// made it or another that tells of it.
+    ///
+    /// Not when a list last changed but how far it is known says which of two is the older: what was
+    /// set and taken back between two looks leaves no trace.
     pub fn list(
         &mut self,
         sent: Ms,
@@ -52,28 +56,6 @@
         self.replace(revision, domains)
     }
 
-    /// Takes another host's list, which last changed at `changed` and was proved at `proved`.
-    pub fn told(
-        &mut self,
-        proved: Ms,
-        changed: u64,
-        domains: BTreeSet<DomainId>,
-    ) -> Vec<EvacuationEvent> {
-        // An older list proves nothing: it lacks what this host knows.
-        if self.known.is_some() && changed < self.changed {
-            return Vec::new();
-        }
-        self.proved = self.proved.max(Some(proved));
-        if self.known.is_some() && changed == self.changed {
-            return Vec::new();
-        }
-        self.known = self.known.max(Some(changed));
-        let events = self.replace(changed, domains);
-        // Where both say the same, the later revision counts, so that it isn't asked for again.
-        self.changed = changed;
-        events
-    }
-
     fn replace(&mut self, revision: u64, domains: BTreeSet<DomainId>) -> Vec<EvacuationEvent> {
         let begun = domains.difference(&self.domains).cloned().map(EvacuationEvent::Begun);
         let ended = self.domains.difference(&domains).cloned().map(EvacuationEvent::Ended);
--- a/crates/wire/src/gen/siskinwheel.v1.rs
+++ b/crates/wire/src/gen/siskinwheel.v1.rs
@@ -882,7 +882,7 @@
     /// The asker's proof is old: the answer waits for a young one and for nothing else.
     #[prost(bool, tag = "4")]
     pub urgent: bool,
-    /// Revision at which the evacuated domains that it holds last changed; 0 for none.
+    /// The store's revision up to which it knows the evacuated domains; 0 for none.
     #[prost(uint64, tag = "5")]
     pub evacuation: u64,
 }
@@ -925,7 +925,7 @@
 #[serde(default)]
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Evacuation {
-    /// The store's revision at which they last changed.
+    /// The store's revision up to which they are known.
     #[prost(uint64, tag = "1")]
     pub revision: u64,
     #[prost(string, repeated, tag = "2")]
