Pieces that read much wait for a target of their domain while they are in time

Cause: a piece went to any target of the region that was free, and carried up to a megabyte and a half of inputs across domains to be done sooner than anybody needed. It waits for the next call of the domain where its inputs lie as long as that call ends in time for its stage.

Without time left a piece goes anywhere, as before.

--- a/crates/edge/src/composer/submission.rs
+++ b/crates/edge/src/composer/submission.rs
@@ -77,6 +77,7 @@
         expires: now + Ms(work.expires_ms),
         rank: work.rank.min(9) as u8,
         bytes: work.bytes,
+        reads: work.reads,
         home: home.clone(),
         residency: residency.clone(),
     };
--- a/crates/model/src/stages/requests.rs
+++ b/crates/model/src/stages/requests.rs
@@ -66,6 +66,7 @@
             expires: request.since + PATIENCE - after,
             rank: request.kind.rank,
             bytes: declared.bytes,
+            reads: 0,
             home: None,
             residency: Residency::Anywhere,
         };
--- a/crates/sched/src/batch/mod.rs
+++ b/crates/sched/src/batch/mod.rs
@@ -41,6 +41,8 @@
 /// Sends of one piece at most: the first, and two more when targets crash under it.
 const SENDS: u32 = 3;
 
+/// Bytes of results read from which a piece waits for its own failure domain.
+const MUCH_READ: u64 = 100_000;
 /// Weight of a new call in what is learned of calls: a few of them, about a second.
 const CALL_WEIGHT: f64 = 0.2;
 
@@ -230,6 +232,18 @@
         outside.into_iter().for_each(|id| self.finish(id, PieceEnd::Outside, out));
     }
 
+    /// Whether a piece that reads much waits for the next call of its own failure domain, in which
+    /// it is still in time: the time that it has left would buy nothing, the bytes are paid for.
+    fn waits_for(&self, now: Ms, home: &DomainId, piece: &Piece) -> bool {
+        if piece.reads < MUCH_READ {
+            return false;
+        }
+        let near = self.targets.values().filter(|t| t.domain == *home && t.usable(now));
+        let near = near.filter(|t| t.allows(piece));
+        let end = near.map(|t| t.free_at(now) + t.scaled(self.shape.full())).min();
+        end.is_some_and(|end| end <= piece.due)
+    }
+
     /// Whether no target is in a region that a piece's request may be in, though there are targets.
     fn outside(&self, piece: &Piece) -> bool {
         let mut live = self.targets.values().filter(|t| t.live).peekable();
@@ -412,8 +426,10 @@
         let Some(target) = self.targets.get(id) else { return Vec::new() };
         let far = |w: &Waiting| w.piece.home.as_ref().is_some_and(|home| *home != target.domain);
         let allowed = |w: &Waiting| target.allows(&w.piece);
-        let for_other =
-            |w: &Waiting| far(w) && w.piece.home.as_ref().is_some_and(|h| others.contains(h));
+        let for_other = |w: &Waiting| {
+            let home = w.piece.home.as_ref();
+            far(w) && home.is_some_and(|h| others.contains(h) || self.waits_for(now, h, &w.piece))
+        };
         let queued: Vec<order::Queued<'_>> = self
             .pieces
             .iter()
--- a/crates/sched/src/batch/types.rs
+++ b/crates/sched/src/batch/types.rs
@@ -40,6 +40,8 @@
     pub rank: u8,
     /// Approximate size of its result, bytes.
     pub bytes: u64,
+    /// Bytes of results that it reads.
+    pub reads: u64,
     /// Failure domain in which it should be made; none for any.
     pub home: Option<DomainId>,
     /// Regions that its request may be in.
--- a/crates/sched/tests/common/mod.rs
+++ b/crates/sched/tests/common/mod.rs
@@ -95,6 +95,7 @@
                 expires: self.now + Ms(10_000),
                 rank: 1,
                 bytes: KB,
+                reads: 0,
                 home: None,
                 residency: Residency::Anywhere,
             };
--- a/crates/sched/tests/domains.rs
+++ b/crates/sched/tests/domains.rs
@@ -51,3 +51,32 @@
     let west = (0..bench.calls.len()).position(|call| bench.requests(call) == ["west"]);
     assert!(west.is_some_and(|call| call <= 3), "{west:?}");
 }
+
+/// Guards against results that are paid for by volume crossing domains to save time that nobody needs.
+#[test]
+fn pieces_that_read_much_wait_for_their_domain_while_they_are_in_time() {
+    let much = |p: &mut Piece| {
+        p.home = Some(DomainId::from("west"));
+        p.reads = 1_000_000;
+    };
+    let mut bench = Bench::new(shape(), &["a:east", "b:west"]);
+    bench.submit("first", 8, at("west"));
+    bench.submit("second", 8, much);
+    assert_eq!(bench.calls.len(), 1, "the east idles");
+    bench.finish(0, Ms(320));
+    assert_eq!((bench.calls[1].1.as_str(), bench.requests(1)), ("b", vec!["second"]));
+}
+
+/// Guards against callers that wait for bytes to be saved: without time left they go anywhere.
+#[test]
+fn pieces_that_read_much_go_anywhere_when_their_domain_would_be_too_late() {
+    let mut bench = Bench::new(shape(), &["a:east", "b:west"]);
+    bench.submit("first", 8, at("west"));
+    let due = bench.now + Ms(400);
+    bench.submit("second", 8, |p| {
+        p.home = Some(DomainId::from("west"));
+        p.reads = 1_000_000;
+        p.due = due;
+    });
+    assert_eq!((bench.calls[1].1.as_str(), bench.requests(1)), ("a", vec!["second"]));
+}
--- a/crates/sched/tests/load.rs
+++ b/crates/sched/tests/load.rs
@@ -145,6 +145,7 @@
             expires: self.now + Ms(8_000),
             rank: 1,
             bytes: 1,
+            reads: 0,
             home: None,
             residency: Residency::Anywhere,
         };
