--- a/crates/sched/src/roster.rs
+++ b/crates/sched/src/roster.rs
@@ -3,7 +3,7 @@
 //! Answers: a cut through the fleet, on each side of which a limit that all hosts share must hold
 //! together with the other side. Without it each side divides the limit among the hosts that it
 //! still sees, and both together send a multiple. A host that is lost keeps its share for
-//! [`KEEP`]: it may go on sending where nobody here can see it.
+//! some minutes: it may go on sending where nobody here can see it.
 
 use base::{DomainId, HostId, Ms};
 use std::collections::HashMap;
