Hosts of another domain are told of prompts evenly

Cause: prompts are told to the hosts of the engine's domain. In another domain all of a fleet's hosts chose the same first twelve by name: these heard from everyone, the others nothing. The choice is spread by hashing (sched::duty). The test of the decision came with it.

--- a/crates/edge/src/members.rs
+++ b/crates/edge/src/members.rs
@@ -189,10 +189,9 @@
 
     async fn tell(&self, news: HostNews, most: usize, fits: impl Fn(&ViewHost) -> bool) {
         let hosts = self.view.hosts();
-        let others = hosts.iter().filter(|h| h.host != self.me && fits(h));
-        // Those behind this one by name first: each host is told by as many as it tells.
-        let (before, behind): (Vec<_>, Vec<_>) = others.partition(|h| h.host < self.me);
-        let told: Vec<&ViewHost> = behind.into_iter().chain(before).take(most).collect();
+        let others: Vec<&ViewHost> =
+            hosts.iter().filter(|h| h.host != self.me && fits(h)).collect();
+        let told = duty::audience(self.me.as_str(), &others, |h| h.host.as_str(), most);
         for part in told.chunks(TOLD_AT_ONCE) {
             let calls = part.iter().map(|h| self.tell_one(&h.host, h.address, news.clone()));
             futures::future::join_all(calls).await;
--- a/crates/sched/src/duty.rs
+++ b/crates/sched/src/duty.rs
@@ -4,10 +4,12 @@
 //! calls of a region or reads the store for its domain. Without it the duty falls to a small host
 //! nine times in ten, whose processor and link then bound what all its peers get done.
 //!
+//! Whom a host tells something is a choice of the same kind: [`audience`] spreads it.
+//!
 //! All hosts that see the same others choose the same one, and choices move as little as they can
 //! when hosts come and go: rendezvous hashing, among the hosts that are large enough.
 
-use base::rendezvous;
+use base::{hash_parts, rendezvous};
 
 /// Part of the largest host's capacity that a host must have to be given a duty, percent: hosts of
 /// about one size share the duties, and the loss of one large host among several moves few.
@@ -26,3 +28,19 @@
     let large = |h: &&&T| u64::from(capacity(h)) * 100 >= u64::from(most) * LEAST;
     rendezvous(key, hosts.iter().filter(large), |h| name(h)).copied()
 }
+
+/// The hosts that `me` tells something, `most` of them: different hosts tell different ones, so that
+/// none hears from a whole fleet while others hear nothing.
+pub fn audience<'a, T>(
+    me: &str,
+    hosts: &[&'a T],
+    name: impl Fn(&T) -> &str,
+    most: usize,
+) -> Vec<&'a T> {
+    let mut told = hosts.to_vec();
+    if told.len() > most {
+        told.sort_by_cached_key(|h| hash_parts(&[me.as_bytes(), name(h).as_bytes()]));
+        told.truncate(most);
+    }
+    told
+}
--- a/crates/sched/tests/duty.rs
+++ b/crates/sched/tests/duty.rs
@@ -1,6 +1,6 @@
 //! Who composes and who reads, in fleets of hosts of different size.
 
-use sched::duty::holder;
+use sched::duty::{audience, holder};
 use std::collections::HashSet;
 
 struct Host {
@@ -54,3 +54,18 @@
         }
     }
 }
+
+/// Guards against a dozen hosts that hear from a whole fleet while the others hear nothing.
+#[test]
+fn what_a_fleet_tells_another_domain_reaches_its_hosts_evenly() {
+    let names: Vec<String> = (0..50).map(|i| format!("edge-south-{i}")).collect();
+    let hosts: Vec<&String> = names.iter().collect();
+    let mut heard = std::collections::HashMap::new();
+    for teller in 0..50 {
+        let told = audience(&format!("edge-north-{teller}"), &hosts, |n| n.as_str(), 12);
+        assert_eq!(told.len(), 12);
+        told.into_iter().for_each(|n| *heard.entry(n.clone()).or_insert(0) += 1);
+    }
+    assert_eq!(heard.len(), 50);
+    assert!(heard.values().all(|n| (2..=26).contains(n)), "{heard:?}");
+}
