Targets that only restricted pieces may use don't count in the wait

Cause: a host that has just started and knows no other composes for all regions; the others' targets stayed with it as reserved ones until targets or configuration changed next, and counted as free in the wait that it told. So hopeless work was taken in and none was passed on. Reserved targets no longer count, and which targets are a host's is looked at again every half second.

The test failed first.

--- a/crates/edge/src/composer/mod.rs
+++ b/crates/edge/src/composer/mod.rs
@@ -167,6 +167,8 @@
     /// Ticks a batcher when it asks for it, and tells it of its targets.
     async fn drive(self: Arc<Self>, service: Arc<Service>) {
         let mut moved = self.core.moved.subscribe();
+        // Which targets are this host's to compose for changes with the live hosts too.
+        let mut members = tokio::time::interval(LOOK.duration());
         loop {
             let now = self.core.clock.now();
             let wake = lock(&service.state).batcher.wake(now);
@@ -176,6 +178,9 @@
                     self.feed(&service, Event::Tick);
                 }
                 () = service.wake.notified() => {}
+                _ = members.tick() => {
+                    self.feed(&service, Event::Targets(self.places(&service.name)));
+                }
                 _ = moved.changed() => {
                     if let Some(shape) = self.shape(&service.name) {
                         self.feed(&service, Event::Shape(shape));
--- a/crates/sched/src/batch/mod.rs
+++ b/crates/sched/src/batch/mod.rs
@@ -128,8 +128,9 @@
     }
 
     fn wait_behind(&self, now: Ms, ahead: usize) -> Option<Ms> {
-        let mut free: Vec<Ms> =
-            self.targets.values().filter(|t| t.usable(now)).map(|t| t.free_at(now)).collect();
+        // Targets that only some pieces may use say nothing of how long others wait.
+        let common = self.targets.values().filter(|t| t.usable(now) && !t.reserved);
+        let mut free: Vec<Ms> = common.map(|t| t.free_at(now)).collect();
         let full = self.shape.time(self.fill as usize);
         for _ in 0..(ahead as f64 / self.fill.max(1.0)) as usize {
             let first = free.iter_mut().min()?;
--- a/crates/sched/src/batch/target.rs
+++ b/crates/sched/src/batch/target.rs
@@ -53,7 +53,7 @@
     pub(super) born: u64,
     pub(super) domain: DomainId,
     region: Option<RegionId>,
-    reserved: bool,
+    pub(super) reserved: bool,
     pub(super) live: bool,
     open: Vec<Open>,
     speed: f64,
--- a/crates/sched/tests/common/mod.rs
+++ b/crates/sched/tests/common/mod.rs
@@ -47,16 +47,20 @@
         bench
     }
 
-    /// Targets of one failure domain, or as `name:domain`.
+    /// Targets of one failure domain, or as `name:domain`; reserved ones begin with `!`.
     pub fn targets(&mut self, names: &[&str]) {
         let place = |name: &&str| {
-            let (id, domain) = name.split_once(':').unwrap_or((*name, "one"));
+            let (name, reserved) = match name.strip_prefix('!') {
+                Some(name) => (name, true),
+                None => (*name, false),
+            };
+            let (id, domain) = name.split_once(':').unwrap_or((name, "one"));
             Place {
                 id: TargetId::from(id),
                 born: 1,
                 domain: DomainId::from(domain),
                 region: Some(domain.into()),
-                reserved: false,
+                reserved,
             }
         };
         self.feed(Event::Targets(names.iter().map(place).collect()));
--- a/crates/sched/tests/domains.rs
+++ b/crates/sched/tests/domains.rs
@@ -80,3 +80,13 @@
     });
     assert_eq!((bench.calls[1].1.as_str(), bench.requests(1)), ("a", vec!["second"]));
 }
+
+/// Guards against targets of another region, which only restricted requests may use, hiding how long
+/// all others wait: hopeless work would be taken in, and none passed on.
+#[test]
+fn reserved_targets_do_not_shorten_the_wait() {
+    let mut bench = Bench::new(shape(), &["a:east", "!far:west"]);
+    bench.submit("first", 8, at("east"));
+    assert_eq!(bench.calls.len(), 1);
+    assert!(bench.batcher.wait(bench.now) > Some(Ms(200)));
+}
