Hosts write what limit a target names in its answers

Events 318 and 319 and edge_target_notices_total: whether a host hears of a limit could not be told from its lines. Nothing follows from it yet. What a target says of itself is one type, taken in one place; the load of an answer that belongs to another request is no longer taken for the target's.

--- a/crates/edge/src/dialect.rs
+++ b/crates/edge/src/dialect.rs
@@ -106,8 +106,17 @@
     pub slots: u32,
 }
 
+/// What a target says of itself in an answer.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Notice {
+    /// Its load.
+    pub load: Option<Load>,
+    /// Requests a second that it takes from all hosts together; none where it names no limit.
+    pub limit: Option<f64>,
+}
+
 /// The head of a target's answer.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct AnswerHead {
     /// False when it names another request: it isn't the answer to this one.
     pub same_request: bool,
@@ -121,8 +130,8 @@
     pub moved: bool,
     /// Whether the body is in a coding that nobody asked for.
     pub coded: bool,
-    /// The target's load.
-    pub load: Option<Load>,
+    /// What the target says of itself.
+    pub notice: Notice,
     /// Time for which the target keeps the idle connection.
     pub keep: Option<Ms>,
 }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -27,6 +27,7 @@
 mod links;
 mod members;
 mod metrics;
+mod notices;
 mod plain;
 mod pulse;
 mod refusal;
@@ -45,7 +46,9 @@
 mod submit;
 mod tell;
 
-pub use dialect::{AnswerHead, Ask, AskError, Dialect, Load, Onward, PromptPart, StageCall};
+pub use dialect::{
+    AnswerHead, Ask, AskError, Dialect, Load, Notice, Onward, PromptPart, StageCall,
+};
 pub use directory::{
     Change, Declared, Directory, DirectoryError, Kind, Page, Record, RecordBody, Revision, Updates,
 };
--- a/crates/edge/src/links.rs
+++ b/crates/edge/src/links.rs
@@ -32,6 +32,7 @@
     health: Mutex<Health>,
     open: AtomicU32,
     load: Mutex<Option<(Ms, Load)>>,
+    limit: Mutex<Option<f64>>,
     backlog: Mutex<Backlog>,
     subjects: Mutex<Subjects>,
     warmth: Mutex<Warmth>,
@@ -59,6 +60,7 @@
             health: Mutex::default(),
             open: AtomicU32::new(0),
             load: Mutex::default(),
+            limit: Mutex::default(),
             backlog: Mutex::default(),
             subjects: Mutex::default(),
             warmth: Mutex::new(warmth),
@@ -120,6 +122,12 @@
         *self.load.lock().unwrap_or_else(PoisonError::into_inner) = Some((now, load));
     }
 
+    /// It names a limit on what it gets a second, or none. Gives whether that is news.
+    pub(crate) fn named_limit(&self, limit: Option<f64>) -> bool {
+        let mut held = self.limit.lock().unwrap_or_else(PoisonError::into_inner);
+        std::mem::replace(&mut *held, limit) != limit
+    }
+
     /// Requests there, as far as is known.
     pub(crate) fn load(&self, now: Ms) -> u32 {
         let open = self.open.load(Ordering::Relaxed);
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -24,6 +24,7 @@
     passed: Counter<u64>,
     connections: Counter<u64>,
     store: Counter<u64>,
+    notices: Counter<u64>,
 }
 
 impl Metrics {
@@ -45,6 +46,7 @@
             calls: meter.u64_histogram("edge_call_pieces").build(),
             passed: meter.u64_counter("edge_passed_on").build(),
             store: meter.u64_counter("edge_store_calls").build(),
+            notices: meter.u64_counter("edge_target_notices").build(),
             connections: meter.u64_counter("edge_connections_refused").build(),
             provider,
         })
@@ -92,6 +94,12 @@
         self.store.add(1, &[KeyValue::new("call", call)]);
     }
 
+    /// A target of a service said something of itself that was news.
+    pub(crate) fn notice(&self, service: &str, what: &'static str) {
+        let service = KeyValue::new("service", service.to_owned());
+        self.notices.add(1, &[service, KeyValue::new("what", what)]);
+    }
+
     /// A stage was passed on to another region.
     pub(crate) fn passed_on(&self, service: &str) {
         self.passed.add(1, &[KeyValue::new("service", service.to_owned())]);
--- /dev/null
+++ b/crates/edge/src/notices.rs
@@ -0,0 +1,39 @@
+//! What targets say of themselves in their answers.
+
+use hyper::http::response::Parts;
+use logs::note;
+
+use crate::core::Core;
+use crate::dialect::{AnswerHead, Notice};
+use crate::links::Link;
+
+/// Takes what a target said of itself in the head of an answer.
+pub(crate) fn take(core: &Core, link: &Link, parts: &Parts, head: &AnswerHead) {
+    // Another target's address by now, and its word.
+    if head.moved {
+        return;
+    }
+    let Notice { load, limit } = head.notice;
+    if let Some(load) = load {
+        link.said(core.clock.now(), load);
+    }
+    // Failures don't always say all that the target has to say.
+    if limit.is_some() || parts.status.is_success() {
+        take_limit(core, link, limit);
+    }
+}
+
+fn take_limit(core: &Core, link: &Link, limit: Option<f64>) {
+    let service = link.entry.service.as_str();
+    match (link.named_limit(limit), limit) {
+        (false, _) => {}
+        (true, Some(per_second)) => {
+            core.metrics.notice(service, "limited");
+            note!(logs::Event::TargetLimited, target = link.name(), per_second);
+        }
+        (true, None) => {
+            core.metrics.notice(service, "unlimited");
+            note!(logs::Event::TargetUnlimited, target = link.name());
+        }
+    }
+}
--- a/crates/edge/src/send.rs
+++ b/crates/edge/src/send.rs
@@ -14,6 +14,7 @@
 use crate::dialect::AnswerHead;
 use crate::gate::{self, Barrier};
 use crate::links::{Link, OpenAt};
+use crate::notices;
 
 /// How a send failed, by what is known of the request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
@@ -139,12 +140,10 @@
     })?;
     let (parts, body) = response.into_parts();
     let head = core.dialect.answer(&parts, id);
-    if let Some(load) = head.load {
-        link.said(core.clock.now(), load);
-    }
     if !head.same_request {
         return Err(SendFault::Mismatch);
     }
+    notices::take(core, link, &parts, &head);
     let lease = Lease { link: link.clone(), conn, keep: head.keep, _open: open };
     Ok(Answered { head, parts, body, lease })
 }
