A target that names a limit gets no more than that from all hosts together

What callers saw: nothing; a target that had said that it takes one request a second went on getting two, and was given more than it has room for.

Cause: what a target says of itself in its answers was not read but for its load. Class: a fact that only the target's own answers tell.

Evidence: no line of any host spoke of a limit, arrivals at both engines were as before, within the spread of the seven others.

Why this works: a few hosts of the target's failure domain, the first in its own order, send it one request each in turn, the interval being their number by the limit; one host composes the calls of a stage target and has all of it. Any other host looks again only so often that all of them together stay within what is left, one after the other. In virtual time 1 to 1,000 hosts with limits of 0.25 to 12 a second stay under half as much again and five requests in any four seconds, and use six tenths of the limit or more. The gate is asked when a target is chosen and again right before the request is written, as for cold targets. A limited stage target pauses for its composer in place of bouncing its calls every 60 ms; results there are left to lapse.

The order of hosts by target stood in warmup alone; both use duty::place now.

--- a/crates/edge/src/composer/mod.rs
+++ b/crates/edge/src/composer/mod.rs
@@ -21,6 +21,7 @@
 use self::submission::{Submission, Withdraw, begun, ended, pieces};
 use crate::core::{Core, allowance};
 use crate::dialect::StageCall;
+use crate::gate::Barrier;
 use crate::links::Link;
 use crate::send::{SendFault, send};
 
@@ -274,6 +275,7 @@
         };
         let answered = match send(&self.core, &link, OWN_CALL, timeout, build).await {
             Ok(answered) => answered,
+            Err(SendFault::Barred(Barrier::Limited(rest))) => return CallEnd::Barred(rest),
             // An evacuated target is taken off the list, a cold one stands a call in a moment.
             Err(SendFault::Barred(_)) => return CallEnd::Full,
             Err(SendFault::NoConnection) => return CallEnd::NoConnection,
--- a/crates/edge/src/gate.rs
+++ b/crates/edge/src/gate.rs
@@ -1,4 +1,5 @@
-//! Whether a target may get a request at this moment: evacuated failure domains and cold targets.
+//! Whether a target may get a request at this moment: evacuated failure domains, targets that name
+//! a limit, and cold ones.
 //!
 //! Asked twice: when a target is chosen, and again right before the request is written, since a
 //! connection may have taken a while to open. Where a request may be is no question of the moment;
@@ -7,12 +8,14 @@
 use base::Ms;
 use catalog::Warmup;
 use sched::evacuation::Evacuations;
+use sched::limit::{self, Part};
 use sched::roster::Roster;
 use sched::warmup::{self, ColdLimit};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use crate::core::Core;
 use crate::links::Link;
+use crate::members::Owner;
 use crate::settings::Settings;
 
 /// Why no target may get a request.
@@ -24,6 +27,9 @@
     Outside,
     /// Those that there are belong to evacuated failure domains.
     Evacuated,
+    /// Those that there are name a limit, and have had this host's part of it. It may send the next
+    /// request in this time.
+    Limited(Ms),
     /// Those that there are have had what they stand while cold; they stay cold for this long.
     Cold(Ms),
 }
@@ -35,6 +41,7 @@
             Self::NoTarget => "no_target",
             Self::Outside => "outside",
             Self::Evacuated => "evacuated",
+            Self::Limited(_) => "limited",
             Self::Cold(_) => "cold",
         }
     }
@@ -73,6 +80,7 @@
     if core.links().evacuated(&link.entry.domain) {
         return Err(Barrier::Evacuated);
     }
+    check_limit(core, now, link)?;
     let rest = link.warmth().rest(now);
     if rest == Ms::ZERO {
         return Ok(());
@@ -89,10 +97,46 @@
 pub(crate) fn pass(core: &Core, link: &Link) -> Result<(), Barrier> {
     let now = core.clock.now();
     check(core, now, link)?;
+    link.limit().sent(now);
     link.warmth().sent(now);
     Ok(())
 }
 
+fn check_limit(core: &Core, now: Ms, link: &Link) -> Result<(), Barrier> {
+    let mut limit = link.limit();
+    if let Some(per_second) = limit.unpaced(now) {
+        limit.pace(now, interval(core, link, per_second));
+    }
+    match limit.rest(now) {
+        Ms::ZERO => Ok(()),
+        rest => Err(Barrier::Limited(rest)),
+    }
+}
+
+/// Time between two requests of this host to a target that takes so many a second from all.
+fn interval(core: &Core, link: &Link, per_second: f64) -> Ms {
+    let hosts = core.members.hosts();
+    let names = || hosts.iter().map(|h| &h.host);
+    let near = hosts.iter().filter(|h| h.domain == link.entry.domain).map(|h| &h.host);
+    let me = core.members.me();
+    let part = match composes(core, link) {
+        // Whoever composes a stage target's calls sends it all that it gets.
+        Some(true) => Part::Shares(1),
+        Some(false) => limit::part(0.0, link.name(), me, [], names()),
+        None => limit::part(per_second, link.name(), me, near, names()),
+    };
+    limit::interval(per_second, part, hosts.len())
+}
+
+/// Whether this host composes the calls of a stage target; none for other targets.
+fn composes(core: &Core, link: &Link) -> Option<bool> {
+    let service = &link.entry.service;
+    core.declared()?.catalog.service(service)?.batch.as_ref()?;
+    let settings = core.settings();
+    let region = settings.region_of(&link.entry.domain)?;
+    Some(core.members.owner(&settings, service, region) == Some(Owner::Me))
+}
+
 /// Targets of a failure domain are taken to be cold: its evacuation was taken back.
 pub(crate) fn cool_domain(core: &Core, domain: &base::DomainId) {
     let now = core.clock.now();
--- a/crates/edge/src/links.rs
+++ b/crates/edge/src/links.rs
@@ -4,6 +4,7 @@
 use catalog::{Entry, Target, TargetState};
 use link::{Pool, PoolConfig};
 use sched::health::{Health, Outcome};
+use sched::limit::Limit;
 use sched::reading::{Backlog, Subjects};
 use sched::warmup::Warmth;
 use std::collections::{BTreeSet, HashMap};
@@ -32,7 +33,7 @@
     health: Mutex<Health>,
     open: AtomicU32,
     load: Mutex<Option<(Ms, Load)>>,
-    limit: Mutex<Option<f64>>,
+    limit: Mutex<Limit>,
     backlog: Mutex<Backlog>,
     subjects: Mutex<Subjects>,
     warmth: Mutex<Warmth>,
@@ -122,10 +123,9 @@
         *self.load.lock().unwrap_or_else(PoisonError::into_inner) = Some((now, load));
     }
 
-    /// It names a limit on what it gets a second, or none. Gives whether that is news.
-    pub(crate) fn named_limit(&self, limit: Option<f64>) -> bool {
-        let mut held = self.limit.lock().unwrap_or_else(PoisonError::into_inner);
-        std::mem::replace(&mut *held, limit) != limit
+    /// What it takes from all hosts together, while it says so.
+    pub(crate) fn limit(&self) -> MutexGuard<'_, Limit> {
+        self.limit.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Requests there, as far as is known.
--- a/crates/edge/src/notices.rs
+++ b/crates/edge/src/notices.rs
@@ -2,6 +2,7 @@
 
 use hyper::http::response::Parts;
 use logs::note;
+use sched::limit::LimitEvent;
 
 use crate::core::Core;
 use crate::dialect::{AnswerHead, Notice};
@@ -25,13 +26,13 @@
 
 fn take_limit(core: &Core, link: &Link, limit: Option<f64>) {
     let service = link.entry.service.as_str();
-    match (link.named_limit(limit), limit) {
-        (false, _) => {}
-        (true, Some(per_second)) => {
+    match link.limit().named(core.clock.now(), limit) {
+        None => {}
+        Some(LimitEvent::Begun) => {
             core.metrics.notice(service, "limited");
-            note!(logs::Event::TargetLimited, target = link.name(), per_second);
+            note!(logs::Event::TargetLimited, target = link.name(), per_second = limit);
         }
-        (true, None) => {
+        Some(LimitEvent::Ended) => {
             core.metrics.notice(service, "unlimited");
             note!(logs::Event::TargetUnlimited, target = link.name());
         }
--- a/crates/edge/src/refusal.rs
+++ b/crates/edge/src/refusal.rs
@@ -11,6 +11,9 @@
 use crate::gate::Barrier;
 use crate::request::Call;
 
+/// Time after which a caller asks another host that may send more to a target than this one, ms.
+const OTHERS_TURN: Ms = Ms(1_000);
+
 /// Why a request gets no target's answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Reason {
@@ -40,6 +43,8 @@
     Outside,
     /// Its targets are in evacuated failure domains.
     Evacuated,
+    /// Its targets name a limit and have had this host's part of it. It may send more in this time.
+    Limited(Ms),
     /// Its targets have just started and stand no more. They do after this time.
     Cold(Ms),
     /// Its stages can't be done. What stands in the way is over in this time.
@@ -58,6 +63,7 @@
             Barrier::NoTarget => Self::NoTarget,
             Barrier::Outside => Self::Outside,
             Barrier::Evacuated => Self::Evacuated,
+            Barrier::Limited(rest) => Self::Limited(rest),
             Barrier::Cold(rest) => Self::Cold(rest),
         }
     }
@@ -80,6 +86,7 @@
             Self::Nowhere => "nowhere",
             Self::Outside => "outside",
             Self::Evacuated => "evacuated",
+            Self::Limited(_) => "limited",
             Self::Cold(_) => "cold",
             Self::Stages(_) => "stages",
             Self::Poison => "poison",
@@ -103,6 +110,7 @@
             | Self::Nowhere
             | Self::Outside
             | Self::Evacuated
+            | Self::Limited(_)
             | Self::Cold(_)
             | Self::Stages(_) => StatusCode::SERVICE_UNAVAILABLE,
             Self::Poison | Self::Failed => StatusCode::BAD_GATEWAY,
@@ -119,6 +127,8 @@
             Self::NoTarget | Self::Outside => Some(Ms(500)),
             // Longer than an operator needs to take it back.
             Self::Evacuated => Some(Ms(1_000)),
+            // Another host may have a larger part.
+            Self::Limited(wait) => Some(if wait.0 < OTHERS_TURN.0 { wait } else { OTHERS_TURN }),
             Self::Stages(wait) | Self::Cold(wait) => Some(wait),
             _ => None,
         }
@@ -144,6 +154,7 @@
             }
             Self::Outside => "no target is in a region that its route and workspace allow".into(),
             Self::Evacuated => "the failure domains of its targets are evacuated".into(),
+            Self::Limited(_) => "its targets take no more for a moment".into(),
             Self::Cold(_) => "its targets have just started and take no more for a moment".into(),
             Self::Stages(_) => "its stages can't be done in time".into(),
             Self::Poison => "targets crash when they run this request".into(),
--- a/crates/sched/src/batch/mod.rs
+++ b/crates/sched/src/batch/mod.rs
@@ -287,7 +287,7 @@
                     }
                 }
             }
-            CallEnd::Full | CallEnd::Moved | CallEnd::NoConnection => {
+            CallEnd::Full | CallEnd::Barred(_) | CallEnd::Moved | CallEnd::NoConnection => {
                 pieces.into_iter().for_each(|p| self.again(now, p, false, out));
             }
             CallEnd::Broken | CallEnd::Silent => {
--- a/crates/sched/src/batch/types.rs
+++ b/crates/sched/src/batch/types.rs
@@ -72,6 +72,8 @@
     Done(Vec<PieceEnd>),
     /// The target had no place and did nothing.
     Full,
+    /// It was not sent: the target takes no call from this host for so long.
+    Barred(Ms),
     /// The target's address belongs to another now.
     Moved,
     /// No connection.
--- a/crates/sched/src/duty.rs
+++ b/crates/sched/src/duty.rs
@@ -9,7 +9,7 @@
 //! All hosts that see the same others choose the same one, and choices move as little as they can
 //! when hosts come and go: rendezvous hashing, among the hosts that are large enough.
 
-use base::{hash_parts, rendezvous};
+use base::{HostId, hash_parts, rendezvous};
 
 /// Part of the largest host's capacity that a host must have to be given a duty, percent: hosts of
 /// about one size share the duties, and the loss of one large host among several moves few.
@@ -29,6 +29,23 @@
     rendezvous(key, hosts.iter().filter(large), |h| name(h)).copied()
 }
 
+/// How many of `hosts` come before `me` in the order of hosts that `key` names, in which the first
+/// few share what all of them together may do; none where `me` isn't one of them.
+pub fn place<'a>(
+    key: &str,
+    me: &HostId,
+    hosts: impl IntoIterator<Item = &'a HostId>,
+) -> Option<u32> {
+    let score = |host: &HostId| hash_parts(&[key.as_bytes(), host.as_str().as_bytes()]);
+    let mine = (score(me), me);
+    let (mut before, mut found) = (0, false);
+    for host in hosts {
+        found |= host == me;
+        before += u32::from((score(host), host) < mine);
+    }
+    found.then_some(before)
+}
+
 /// The hosts that `me` tells something, `most` of them: different hosts tell different ones, so that
 /// none hears from a whole fleet while others hear nothing.
 pub fn audience<'a, T>(
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -15,6 +15,7 @@
 //! | [`duty`] | few large hosts among many small ones | what one host does for many falls to a small one |
 //! | [`source`] | hundreds of hosts that follow one store | its load grows with the fleet; a change wakes all hosts there |
 //! | [`comeback`] | refused callers | they return at once, or all together |
+//! | [`limit`] | a target in need that says how much it takes from all hosts | each host goes on sending its full share |
 //! | [`evacuation`] | a failure domain that is emptied, from several sources | old word brings work back to it |
 //! | [`roster`] | a cut through the fleet | each side takes the whole of a common limit |
 //! | [`warmup`] | targets that come back cold into a burst | they fall over again |
@@ -27,6 +28,7 @@
 pub mod estimate;
 pub mod evacuation;
 pub mod health;
+pub mod limit;
 pub mod offload;
 pub mod place;
 pub mod poison;
--- a/crates/sched/src/warmup.rs
+++ b/crates/sched/src/warmup.rs
@@ -17,9 +17,11 @@
 //! | a connection to it breaks, is refused or goes silent | cold for [`UNHEARD`] heartbeats: a target that was lost and is back has registered in that time |
 //! | otherwise | warm |
 
-use base::{HostId, Ms, hash_parts};
+use base::{HostId, Ms};
 use std::collections::VecDeque;
 
+use crate::duty;
+
 /// Span of the limit, ms, with the time for which requests may differ on their way to a target.
 const SECOND: Ms = Ms(1_100);
 /// Part of the limit that hosts which agree use, percent.
@@ -53,15 +55,11 @@
     hosts: impl IntoIterator<Item = &'a HostId>,
 ) -> u32 {
     let agreed = (limit * AGREED).max(0.0) as u32;
-    let score =
-        |host: &HostId| (hash_parts(&[target.as_bytes(), host.as_str().as_bytes()]), host.clone());
-    let mut scores: Vec<_> = hosts.into_iter().map(score).collect();
-    scores.sort();
-    let senders = scores.len().min(agreed as usize);
-    let chosen = scores[..senders].iter().any(|(_, host)| host == me);
-    match chosen {
-        true => agreed / senders as u32,
-        false => 0,
+    let hosts: Vec<&HostId> = hosts.into_iter().collect();
+    let senders = agreed.min(hosts.len() as u32);
+    match duty::place(target, me, hosts) {
+        Some(before) if before < senders => agreed / senders,
+        _ => 0,
     }
 }
 
--- /dev/null
+++ b/crates/sched/tests/limit.rs
@@ -0,0 +1,124 @@
+//! What a target that names a limit gets from a fleet that nobody coordinates.
+
+use base::{HostId, Ms};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use sched::limit::{Limit, LimitEvent, Part, interval, part};
+
+const TARGET: &str = "engine-7";
+/// Span over which requests are counted, ms.
+const SPAN: u64 = 4_000;
+/// Failure domains of a fleet.
+const DOMAINS: usize = 3;
+
+/// One host with what it knows of the target.
+struct Sender {
+    limit: Limit,
+    interval: Ms,
+    next: u64,
+}
+
+/// A fleet in which each host would send the target a request every `every` ms.
+struct Fleet {
+    per_second: f64,
+    every: u64,
+    senders: Vec<Sender>,
+}
+
+impl Fleet {
+    fn new(count: usize, per_second: f64, every: u64, rng: &mut ChaCha8Rng) -> Self {
+        let all: Vec<HostId> = (0..count).map(|i| HostId::from(format!("edge-{i}"))).collect();
+        let near: Vec<&HostId> = all.iter().step_by(DOMAINS).collect();
+        let sender = |me: &HostId| {
+            let part = part(per_second, TARGET, me, near.iter().copied(), &all);
+            let interval = interval(per_second, part, count);
+            Sender { limit: Limit::default(), interval, next: rng.random_range(0..every) }
+        };
+        let senders = all.iter().map(sender).collect();
+        Self { per_second, every, senders }
+    }
+
+    /// Times at which hosts that had been told sent a request, within `time`.
+    fn play(&mut self, time: u64, rng: &mut ChaCha8Rng) -> Vec<u64> {
+        let mut sent = Vec::new();
+        for sender in &mut self.senders {
+            let mut told = false;
+            while sender.next < time {
+                let now = Ms(sender.next);
+                if sender.limit.rest(now) == Ms::ZERO {
+                    sender.limit.sent(now);
+                    sender.limit.named(now, Some(self.per_second));
+                    sender.limit.pace(now, sender.interval);
+                    if told {
+                        sent.push(now.0);
+                    }
+                    told = true;
+                }
+                sender.next += rng.random_range(1..=2 * self.every);
+            }
+        }
+        sent.sort_unstable();
+        sent
+    }
+}
+
+/// The most requests in any span of [`SPAN`].
+fn worst(sent: &[u64]) -> usize {
+    let within = |from: &u64| sent.iter().filter(|at| (*from..from + SPAN).contains(*at)).count();
+    sent.iter().map(within).max().unwrap_or(0)
+}
+
+/// Guards against hosts that each keep to the limit and together send a multiple of it.
+#[test]
+fn all_hosts_together_keep_to_the_limit_at_any_size() {
+    for count in [1, 2, 6, 9, 79, 295, 1_000] {
+        for per_second in [0.25, 1.0, 3.7, 12.0] {
+            for seed in 0..4 {
+                let mut rng = ChaCha8Rng::seed_from_u64(seed);
+                let sent = Fleet::new(count, per_second, 200, &mut rng).play(120_000, &mut rng);
+                let (worst, allowed) = (worst(&sent), 1.5 * 4.0 * per_second + 5.0);
+                let what = format!("{count} hosts, {per_second} a second, seed {seed}");
+                assert!(worst as f64 <= allowed, "{what}: {worst} in four seconds");
+                let used = sent.len() as f64 / 120.0;
+                // One host that sends a request in 200 ms has no more than five a second.
+                let least = (0.6 * per_second).min(count as f64);
+                assert!(used >= least, "{what}: {used} a second are used");
+            }
+        }
+    }
+}
+
+/// Guards against hosts without a part that all look again in the same moment.
+#[test]
+fn hosts_that_heard_of_a_limit_together_look_again_one_after_the_other() {
+    let all: Vec<HostId> = (0..295).map(|i| HostId::from(format!("edge-{i}"))).collect();
+    let mut looks: Vec<u64> =
+        all.iter().map(|me| interval(1.0, part(1.0, TARGET, me, [], &all), all.len()).0).collect();
+    looks.sort_unstable();
+    assert!(worst(&looks) <= 2, "{} in four seconds", worst(&looks));
+    assert!(*looks.last().unwrap() < 30 * 60 * 1_000, "all have looked within half an hour");
+}
+
+#[test]
+fn a_host_that_composes_all_calls_has_the_whole_limit() {
+    assert_eq!(interval(2.0, Part::Shares(1), 6), Ms(500));
+}
+
+/// Guards against a target that is left alone for good because it once took nothing.
+#[test]
+fn a_limit_of_nothing_is_looked_at_again() {
+    let near = [HostId::from("edge-0")];
+    let part = part(0.0, TARGET, &near[0], &near, &near);
+    assert_eq!(interval(0.0, part, 1), Ms(3_000));
+}
+
+/// Guards against an answer that was overtaken and ends a limit which has just begun.
+#[test]
+fn an_answer_that_was_overtaken_does_not_end_a_limit() {
+    let mut limit = Limit::default();
+    assert_eq!(limit.named(Ms(1_000), Some(1.0)), Some(LimitEvent::Begun));
+    assert_eq!(limit.named(Ms(1_400), None), None);
+    assert!(limit.is_named());
+    assert_eq!(limit.named(Ms(2_100), None), Some(LimitEvent::Ended));
+    assert_eq!(limit.rest(Ms(2_100)), Ms::ZERO);
+}
