--- a/crates/edge/src/dialect.rs
+++ b/crates/edge/src/dialect.rs
@@ -113,6 +113,8 @@
     pub load: Option<Load>,
     /// Requests a second that it takes from all hosts together; none where it names no limit.
     pub limit: Option<f64>,
+    /// Whether it is about to leave.
+    pub leaving: bool,
 }
 
 /// The head of a target's answer.
--- a/crates/edge/src/links.rs
+++ b/crates/edge/src/links.rs
@@ -8,7 +8,7 @@
 use sched::reading::{Backlog, Subjects};
 use sched::warmup::Warmth;
 use std::collections::{BTreeSet, HashMap};
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use crate::dialect::Load;
@@ -34,6 +34,7 @@
     open: AtomicU32,
     load: Mutex<Option<(Ms, Load)>>,
     limit: Mutex<Limit>,
+    leaving: AtomicBool,
     backlog: Mutex<Backlog>,
     subjects: Mutex<Subjects>,
     warmth: Mutex<Warmth>,
@@ -62,6 +63,7 @@
             open: AtomicU32::new(0),
             load: Mutex::default(),
             limit: Mutex::default(),
+            leaving: AtomicBool::new(false),
             backlog: Mutex::default(),
             subjects: Mutex::default(),
             warmth: Mutex::new(warmth),
@@ -123,6 +125,11 @@
         *self.load.lock().unwrap_or_else(PoisonError::into_inner) = Some((now, load));
     }
 
+    /// It says that it leaves. Gives whether that is news.
+    pub(crate) fn leaves(&self) -> bool {
+        !self.leaving.swap(true, Ordering::Relaxed)
+    }
+
     /// What it takes from all hosts together, while it says so.
     pub(crate) fn limit(&self) -> MutexGuard<'_, Limit> {
         self.limit.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/edge/src/notices.rs
+++ b/crates/edge/src/notices.rs
@@ -14,10 +14,14 @@
     if head.moved {
         return;
     }
-    let Notice { load, limit } = head.notice;
+    let Notice { load, limit, leaving } = head.notice;
     if let Some(load) = load {
         link.said(core.clock.now(), load);
     }
+    if leaving && link.leaves() {
+        core.metrics.notice(link.entry.service.as_str(), "leaving");
+        note!(logs::Event::TargetSaysLeaving, target = link.name());
+    }
     // Failures don't always say all that the target has to say.
     if limit.is_some() || parts.status.is_success() {
         take_limit(core, link, limit);
--- a/crates/logs/src/event.rs
+++ b/crates/logs/src/event.rs
@@ -88,6 +88,7 @@
     EvacuationEnded = 317, Info, "A failure domain is no longer evacuated; its targets are taken to be cold.";
     TargetLimited = 318, Info, "A target names the most requests a second that it takes from all hosts.";
     TargetUnlimited = 319, Info, "A target that had named a limit names none any more.";
+    TargetSaysLeaving = 320, Info, "A target says in an answer that it is about to leave.";
     JournalUnavailable = 400, Warn, "A key could not be recorded; its request was refused.";
     FinishRetried = 401, Warn, "How a keyed request ended could not be recorded yet; it is tried again.";
     FinishLost = 402, Error, "How a keyed request ended could not be recorded; re-sends are told that it is unknown.";
