A target that says in an answer that it leaves gets nothing more

What callers saw: nothing yet; requests reached an engine twelve seconds after it had told the same host that it leaves, and would have been cut had it gone.

Cause: that a target leaves was learned from the store alone, which was away; the target's own answers said it all the while and nobody read that. Class: as for the limit, a fact that a target's own answers tell.

Evidence: the first line of any host about it is its registration's end at 21.9 s; the answer that says so was passed on at 8.1 s.

Why this works: the word holds for the rest of that life, in the registry beside what the store says, so an entry that is older, comes back after an outage or is never changed can't undo it; what hosts pass on of the store stays the store's. The gate asks the connection's target as well, right before a request is written, so nothing that was chosen earlier slips through.

--- a/crates/catalog/src/registry.rs
+++ b/crates/catalog/src/registry.rs
@@ -4,6 +4,7 @@
 //! |---|---|
 //! | an entry, ready | it takes work |
 //! | an entry, draining | nothing new, for the rest of that life |
+//! | its own word, in an answer, that it leaves | nothing new, for the rest of that life, whatever its entry says |
 //! | an entry that is cold for longer than before | it has gone cold again |
 //! | an entry of an earlier life, or an older one of this life | ignored |
 //! | a removal while the store is calm | gone at once |
@@ -23,6 +24,10 @@
 /// removal after that is the target's own, however it comes about.
 pub const LAPSE_GRACE: Ms = Ms(2_400);
 
+/// How long a target's own word that it leaves is remembered after its entry has gone, ms: an entry
+/// that an outage of the store took away may come back.
+const LEFT_KEEP: Ms = Ms::secs(600);
+
 /// A target that is known.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Target {
@@ -84,6 +89,8 @@
 pub struct Registry {
     targets: HashMap<TargetId, Arc<Target>>,
     lapsed: HashMap<TargetId, Ms>,
+    /// Lives of targets that have said themselves that they leave, and when they did.
+    left: HashMap<TargetId, (u64, Ms)>,
 }
 
 impl Registry {
@@ -113,6 +120,23 @@
         out
     }
 
+    /// A target has said itself, in this life, that it leaves. Its entry may say so much later, or
+    /// never where the store is away. Gives what changed.
+    pub fn leaves(&mut self, now: Ms, id: &TargetId, born: u64) -> Vec<RegistryEvent> {
+        self.left.insert(id.clone(), (born, now));
+        let ready = |t: &Arc<Target>| t.entry.born == born && t.entry.state == TargetState::Ready;
+        match self.targets.get(id).is_some_and(ready) {
+            true => vec![RegistryEvent::Draining(id.clone())],
+            false => Vec::new(),
+        }
+    }
+
+    /// Whether a target takes new work, by its entry and by its own word.
+    pub fn takes_work(&self, entry: &Entry) -> bool {
+        let left = self.left.get(&entry.id).is_some_and(|(born, _)| *born == entry.born);
+        entry.state == TargetState::Ready && !left
+    }
+
     /// Drops what lapsed and did not come back. Call it now and then.
     pub fn expire(&mut self, now: Ms) -> Vec<RegistryEvent> {
         let due: Vec<TargetId> =
@@ -121,6 +145,8 @@
         for id in due {
             self.drop_now(&id, &mut out);
         }
+        let targets = &self.targets;
+        self.left.retain(|id, (_, at)| targets.contains_key(id) || now - *at < LEFT_KEEP);
         out
     }
 
--- a/crates/catalog/tests/registry.rs
+++ b/crates/catalog/tests/registry.rs
@@ -105,3 +105,47 @@
     registry.learn(Ms(2), names_only);
     assert!(names(&registry).is_empty());
 }
+
+/// Guards against work for a target that has said that it leaves, after an outage of the store that
+/// kept its entry as it was, took it away, or brought it back.
+#[test]
+fn a_targets_own_word_that_it_leaves_holds_for_the_rest_of_that_life() {
+    let mut registry = Registry::default();
+    registry.learn(Ms(0), list(vec![ready("a"), ready("b")], None));
+    let events = registry.leaves(Ms(10), &"a".into(), 1);
+    assert_eq!(events, [RegistryEvent::Draining("a".into())]);
+    registry.learn(Ms(20), list(vec![ready("a"), ready("b")], None));
+    registry.learn(Ms(30), Seen::Entry(entry("a", TargetState::Ready, 9, 1)));
+    assert!(!registry.takes_work(&ready("a")));
+    registry.learn(Ms(40), Seen::Removed { id: "a".into(), lapse: None });
+    registry.expire(Ms(50));
+    registry.learn(Ms(60), Seen::Entry(entry("a", TargetState::Ready, 10, 1)));
+    assert!(!registry.takes_work(&ready("a")), "the same life, back after an outage");
+    let next = entry("a", TargetState::Ready, 1, 2);
+    registry.learn(Ms(70), Seen::Entry(next.clone()));
+    assert!(registry.takes_work(&next), "another life");
+    assert!(registry.takes_work(&ready("b")));
+}
+
+/// Guards against the host that reads the store for others keeping an entry's leaving to itself,
+/// because the target had told it before.
+#[test]
+fn what_a_target_says_itself_is_no_part_of_what_the_store_says() {
+    let mut registry = Registry::default();
+    registry.learn(Ms(0), list(vec![ready("a")], None));
+    registry.leaves(Ms(10), &"a".into(), 1);
+    let draining = entry("a", TargetState::Draining, 2, 1);
+    let news = registry.differs(std::slice::from_ref(&draining), &["a".into()]);
+    assert_eq!(news, [catalog::Update::Set(draining)]);
+}
+
+/// Guards against a list of left targets that only grows.
+#[test]
+fn the_word_of_a_target_that_is_long_gone_is_forgotten() {
+    let mut registry = Registry::default();
+    registry.leaves(Ms(0), &"a".into(), 1);
+    registry.expire(Ms(599_000));
+    assert!(!registry.takes_work(&ready("a")));
+    registry.expire(Ms(601_000));
+    assert!(registry.takes_work(&ready("a")));
+}
--- a/crates/edge/src/core/known.rs
+++ b/crates/edge/src/core/known.rs
@@ -203,6 +203,13 @@
         self.note(&mut known, events);
     }
 
+    /// A target has said itself, in this life, that it leaves.
+    pub(crate) fn leaves(&self, entry: &Entry) {
+        let mut known = lock(&self.known);
+        let events = known.registry.leaves(self.clock.now(), &entry.id, entry.born);
+        self.note(&mut known, events);
+    }
+
     fn note(&self, known: &mut Known, events: Vec<RegistryEvent>) {
         if events.is_empty() {
             return;
@@ -234,7 +241,8 @@
         let targets = known.registry.targets();
         let evacuated = self.gate.evacuations().domains().clone();
         let unheard = self.settings().bounds.heartbeat_ms.scale(UNHEARD, 1);
-        let next = self.links.load().renew(self.clock.now(), targets, evacuated, unheard);
+        let works = |entry: &Entry| known.registry.takes_work(entry);
+        let next = self.links.load().renew(self.clock.now(), targets, works, evacuated, unheard);
         self.links.store(Arc::new(next));
         self.moved.send_replace(());
     }
--- a/crates/edge/src/gate.rs
+++ b/crates/edge/src/gate.rs
@@ -1,5 +1,5 @@
-//! Whether a target may get a request at this moment: evacuated failure domains, targets that name
-//! a limit, and cold ones.
+//! Whether a target may get a request at this moment: evacuated failure domains, targets that leave,
+//! those that name a limit, and cold ones.
 //!
 //! Asked twice: when a target is chosen, and again right before the request is written, since a
 //! connection may have taken a while to open. Where a request may be is no question of the moment;
@@ -27,6 +27,8 @@
     Outside,
     /// Those that there are belong to evacuated failure domains.
     Evacuated,
+    /// It has said that it leaves.
+    Leaving,
     /// Those that there are name a limit, and have had this host's part of it. It may send the next
     /// request in this time.
     Limited(Ms),
@@ -41,6 +43,7 @@
             Self::NoTarget => "no_target",
             Self::Outside => "outside",
             Self::Evacuated => "evacuated",
+            Self::Leaving => "leaving",
             Self::Limited(_) => "limited",
             Self::Cold(_) => "cold",
         }
@@ -80,6 +83,9 @@
     if core.links().evacuated(&link.entry.domain) {
         return Err(Barrier::Evacuated);
     }
+    if link.is_leaving() {
+        return Err(Barrier::Leaving);
+    }
     check_limit(core, now, link)?;
     let rest = link.warmth().rest(now);
     if rest == Ms::ZERO {
--- a/crates/edge/src/links.rs
+++ b/crates/edge/src/links.rs
@@ -1,7 +1,7 @@
 //! The targets that take work, with their connections, health and load.
 
 use base::{DomainId, Ms, PoolId, TargetId};
-use catalog::{Entry, Target, TargetState};
+use catalog::{Entry, Target};
 use link::{Pool, PoolConfig};
 use sched::health::{Health, Outcome};
 use sched::limit::Limit;
@@ -130,6 +130,11 @@
         !self.leaving.swap(true, Ordering::Relaxed)
     }
 
+    /// Whether it has said that it leaves.
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Relaxed)
+    }
+
     /// What it takes from all hosts together, while it says so.
     pub(crate) fn limit(&self) -> MutexGuard<'_, Limit> {
         self.limit.lock().unwrap_or_else(PoisonError::into_inner)
@@ -163,6 +168,7 @@
         &self,
         now: Ms,
         targets: impl Iterator<Item = &'a Arc<Target>>,
+        takes_work: impl Fn(&Entry) -> bool,
         evacuated: BTreeSet<DomainId>,
         unheard: Ms,
     ) -> Self {
@@ -173,14 +179,12 @@
             let link =
                 known.cloned().unwrap_or_else(|| Arc::new(Link::new(now, entry.clone(), unheard)));
             next.by_name.insert(entry.id.clone(), link.clone());
-            match entry.state {
-                TargetState::Ready if next.evacuated(&entry.domain) => {
+            match takes_work(entry) {
+                true if next.evacuated(&entry.domain) => {
                     next.barred.insert(entry.service.clone());
                 }
-                TargetState::Ready => {
-                    next.by_service.entry(entry.service.clone()).or_default().push(link);
-                }
-                TargetState::Draining => {}
+                true => next.by_service.entry(entry.service.clone()).or_default().push(link),
+                false => {}
             }
         }
         for links in next.by_service.values_mut() {
--- a/crates/edge/src/notices.rs
+++ b/crates/edge/src/notices.rs
@@ -21,6 +21,7 @@
     if leaving && link.leaves() {
         core.metrics.notice(link.entry.service.as_str(), "leaving");
         note!(logs::Event::TargetSaysLeaving, target = link.name());
+        core.leaves(&link.entry);
     }
     // Failures don't always say all that the target has to say.
     if limit.is_some() || parts.status.is_success() {
--- a/crates/edge/src/refusal.rs
+++ b/crates/edge/src/refusal.rs
@@ -60,7 +60,7 @@
 impl From<Barrier> for Reason {
     fn from(barrier: Barrier) -> Self {
         match barrier {
-            Barrier::NoTarget => Self::NoTarget,
+            Barrier::NoTarget | Barrier::Leaving => Self::NoTarget,
             Barrier::Outside => Self::Outside,
             Barrier::Evacuated => Self::Evacuated,
             Barrier::Limited(rest) => Self::Limited(rest),
