A target that turns a request away is left alone for as long as it asks

What callers saw: nothing; a target that had answered 503 with a time to come back got 13 more requests from the same host in 1.2 s, and a stage target 24 calls, one in 60 ms.

Cause: as of the limit and of the leaving word: of what a target says in its answers only the load was read. Found by looking for that cause elsewhere.

Why this works: the time is kept with the target and asked at the gate, for plain requests, engines, stage calls and calls that give results up alike; where no other target is left, the caller is refused at once and told when.

--- a/crates/edge/src/composer/mod.rs
+++ b/crates/edge/src/composer/mod.rs
@@ -275,7 +275,9 @@
         };
         let answered = match send(&self.core, &link, OWN_CALL, timeout, build).await {
             Ok(answered) => answered,
-            Err(SendFault::Barred(Barrier::Limited(rest))) => return CallEnd::Barred(rest),
+            Err(SendFault::Barred(Barrier::Limited(rest) | Barrier::Paused(rest))) => {
+                return CallEnd::Barred(rest);
+            }
             // An evacuated target is taken off the list, a cold one stands a call in a moment.
             Err(SendFault::Barred(_)) => return CallEnd::Full,
             Err(SendFault::NoConnection) => return CallEnd::NoConnection,
--- a/crates/edge/src/dialect.rs
+++ b/crates/edge/src/dialect.rs
@@ -115,6 +115,8 @@
     pub limit: Option<f64>,
     /// Whether it is about to leave.
     pub leaving: bool,
+    /// It has turned the request away, and wants nothing from this host for so long.
+    pub pause: Option<Ms>,
 }
 
 /// The head of a target's answer.
--- a/crates/edge/src/gate.rs
+++ b/crates/edge/src/gate.rs
@@ -1,5 +1,5 @@
 //! Whether a target may get a request at this moment: evacuated failure domains, targets that leave,
-//! those that name a limit, and cold ones.
+//! those that want to be left alone or name a limit, and cold ones.
 //!
 //! Asked twice: when a target is chosen, and again right before the request is written, since a
 //! connection may have taken a while to open. Where a request may be is no question of the moment;
@@ -29,6 +29,8 @@
     Evacuated,
     /// It has said that it leaves.
     Leaving,
+    /// Those that there are have turned requests of this host away, and want none for so long.
+    Paused(Ms),
     /// Those that there are name a limit, and have had this host's part of it. It may send the next
     /// request in this time.
     Limited(Ms),
@@ -44,6 +46,7 @@
             Self::Outside => "outside",
             Self::Evacuated => "evacuated",
             Self::Leaving => "leaving",
+            Self::Paused(_) => "paused",
             Self::Limited(_) => "limited",
             Self::Cold(_) => "cold",
         }
@@ -86,6 +89,10 @@
     if link.is_leaving() {
         return Err(Barrier::Leaving);
     }
+    match link.paused(now) {
+        Ms::ZERO => {}
+        rest => return Err(Barrier::Paused(rest)),
+    }
     check_limit(core, now, link)?;
     let rest = link.warmth().rest(now);
     if rest == Ms::ZERO {
--- a/crates/edge/src/links.rs
+++ b/crates/edge/src/links.rs
@@ -8,7 +8,7 @@
 use sched::reading::{Backlog, Subjects};
 use sched::warmup::Warmth;
 use std::collections::{BTreeSet, HashMap};
-use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use crate::dialect::Load;
@@ -35,6 +35,8 @@
     load: Mutex<Option<(Ms, Load)>>,
     limit: Mutex<Limit>,
     leaving: AtomicBool,
+    /// Until when it wants nothing from this host, ms.
+    paused: AtomicU64,
     backlog: Mutex<Backlog>,
     subjects: Mutex<Subjects>,
     warmth: Mutex<Warmth>,
@@ -64,6 +66,7 @@
             load: Mutex::default(),
             limit: Mutex::default(),
             leaving: AtomicBool::new(false),
+            paused: AtomicU64::new(0),
             backlog: Mutex::default(),
             subjects: Mutex::default(),
             warmth: Mutex::new(warmth),
@@ -135,6 +138,16 @@
         self.leaving.load(Ordering::Relaxed)
     }
 
+    /// It wants nothing from this host until `until`.
+    pub(crate) fn pause(&self, until: Ms) {
+        self.paused.fetch_max(until.0, Ordering::Relaxed);
+    }
+
+    /// Time for which it wants nothing from this host.
+    pub(crate) fn paused(&self, now: Ms) -> Ms {
+        Ms(self.paused.load(Ordering::Relaxed)) - now
+    }
+
     /// What it takes from all hosts together, while it says so.
     pub(crate) fn limit(&self) -> MutexGuard<'_, Limit> {
         self.limit.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/edge/src/notices.rs
+++ b/crates/edge/src/notices.rs
@@ -14,10 +14,14 @@
     if head.moved {
         return;
     }
-    let Notice { load, limit, leaving } = head.notice;
+    let Notice { load, limit, leaving, pause } = head.notice;
     if let Some(load) = load {
         link.said(core.clock.now(), load);
     }
+    if let Some(pause) = pause {
+        core.metrics.notice(link.entry.service.as_str(), "paused");
+        link.pause(core.clock.now() + pause);
+    }
     if leaving && link.leaves() {
         core.metrics.notice(link.entry.service.as_str(), "leaving");
         note!(logs::Event::TargetSaysLeaving, target = link.name());
--- a/crates/edge/src/refusal.rs
+++ b/crates/edge/src/refusal.rs
@@ -43,6 +43,8 @@
     Outside,
     /// Its targets are in evacuated failure domains.
     Evacuated,
+    /// Its targets have turned requests of this host away, and want none for so long.
+    Paused(Ms),
     /// Its targets name a limit and have had this host's part of it. It may send more in this time.
     Limited(Ms),
     /// Its targets have just started and stand no more. They do after this time.
@@ -63,6 +65,7 @@
             Barrier::NoTarget | Barrier::Leaving => Self::NoTarget,
             Barrier::Outside => Self::Outside,
             Barrier::Evacuated => Self::Evacuated,
+            Barrier::Paused(rest) => Self::Paused(rest),
             Barrier::Limited(rest) => Self::Limited(rest),
             Barrier::Cold(rest) => Self::Cold(rest),
         }
@@ -86,6 +89,7 @@
             Self::Nowhere => "nowhere",
             Self::Outside => "outside",
             Self::Evacuated => "evacuated",
+            Self::Paused(_) => "paused",
             Self::Limited(_) => "limited",
             Self::Cold(_) => "cold",
             Self::Stages(_) => "stages",
@@ -110,6 +114,7 @@
             | Self::Nowhere
             | Self::Outside
             | Self::Evacuated
+            | Self::Paused(_)
             | Self::Limited(_)
             | Self::Cold(_)
             | Self::Stages(_) => StatusCode::SERVICE_UNAVAILABLE,
@@ -127,8 +132,9 @@
             Self::NoTarget | Self::Outside => Some(Ms(500)),
             // Longer than an operator needs to take it back.
             Self::Evacuated => Some(Ms(1_000)),
-            // Another host may have a larger part.
-            Self::Limited(wait) => Some(if wait.0 < OTHERS_TURN.0 { wait } else { OTHERS_TURN }),
+            // Another host may be welcome there, or have a larger part.
+            Self::Paused(wait) | Self::Limited(wait) if wait.0 > OTHERS_TURN.0 => Some(OTHERS_TURN),
+            Self::Paused(wait) | Self::Limited(wait) => Some(wait),
             Self::Stages(wait) | Self::Cold(wait) => Some(wait),
             _ => None,
         }
@@ -154,6 +160,7 @@
             }
             Self::Outside => "no target is in a region that its route and workspace allow".into(),
             Self::Evacuated => "the failure domains of its targets are evacuated".into(),
+            Self::Paused(_) => "its targets have asked this host to wait".into(),
             Self::Limited(_) => "its targets take no more for a moment".into(),
             Self::Cold(_) => "its targets have just started and take no more for a moment".into(),
             Self::Stages(_) => "its stages can't be done in time".into(),
