A send that was barred takes nothing from the budget of second sends

What callers saw: with a target that was chosen and closed to this host while a connection to it was opened, 503 beside an idle target once the host's part of the budget was used up: in the test, which leaves none, three of four callers.

Cause: every try after the first took from the budget, also where nothing had been sent. Found beside the limit, which closes a target to a host far more often than evacuations and cold starts did. The budget is for what may arrive twice; a barred send never left.

--- a/crates/edge/src/plain.rs
+++ b/crates/edge/src/plain.rs
@@ -32,6 +32,8 @@
     Whole(Response<Out>),
     /// The target says that it failed; another may do better.
     Failed(Response<Out>),
+    /// It was not sent: the target was closed to it by then.
+    Barred,
     /// It did not run.
     NotRun,
     /// It may have run.
@@ -42,14 +44,14 @@
 pub(crate) async fn run(core: &Core, call: &Call) -> Response<Out> {
     let again = call.route.repeat.is_idempotent();
     let mut tried: Vec<Arc<Link>> = Vec::new();
-    let (mut runs, mut failed) = (0, None);
+    let (mut sends, mut runs, mut failed) = (0, 0, None);
     let reason = loop {
         let now = core.clock.now();
         let left = call.left(now);
         if left == Ms::ZERO {
             break if runs > 0 { Reason::Timeout } else { Reason::NoTime };
         }
-        if !tried.is_empty() && !core.budget().take(now, &call.service) {
+        if sends > 0 && !core.budget().take(now, &call.service) {
             break if runs > 0 { Reason::Failed } else { Reason::NoTarget };
         }
         let want = Want::Plain { risky: !again };
@@ -64,9 +66,10 @@
         };
         let result = once(core, call, &link, wait).await;
         tried.push(link.clone());
+        sends += u32::from(!matches!(result, Tried::Barred));
         match result {
             Tried::Whole(response) => return response,
-            Tried::NotRun => {}
+            Tried::Barred | Tried::NotRun => {}
             Tried::Failed(response) => {
                 runs += 1;
                 failed = Some((response, link));
@@ -180,9 +183,10 @@
     if fault == SendFault::Broken {
         crashed(core, call, link);
     }
-    match fault.unsent() {
-        true => Tried::NotRun,
-        false => Tried::Lost,
+    match fault {
+        SendFault::Barred(_) => Tried::Barred,
+        _ if fault.unsent() => Tried::NotRun,
+        _ => Tried::Lost,
     }
 }
 
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -72,6 +72,8 @@
     /// When the caller got its first event.
     first: Option<Ms>,
     tried: Vec<Arc<Link>>,
+    /// Engines that it was sent to, whatever came of it.
+    sends: u32,
     runs: u32,
     events: EventStream,
     open: Option<Open>,
@@ -86,6 +88,7 @@
             first: None,
             redone: false,
             tried: Vec::new(),
+            sends: 0,
             runs: 0,
             events: EventStream::new(call.ask.last_event),
             open: None,
@@ -169,7 +172,7 @@
     /// One send to the best engine that wasn't tried.
     async fn send(&mut self, left: Ms) -> Sent {
         let now = self.core.clock.now();
-        let first = self.tried.is_empty();
+        let first = self.sends == 0;
         if self.tried.len() >= SENDS
             || (!first && !self.core.budget().take(now, &self.call.service))
         {
@@ -203,7 +206,9 @@
             self.results.free_soon();
             call.onward(headers(core, call, &link, inputs, last, fetch))
         };
-        match send(core, &link, &call.ask.id, wait, build).await {
+        let result = send(core, &link, &call.ask.id, wait, build).await;
+        self.sends += u32::from(!matches!(result, Err(SendFault::Barred(_))));
+        match result {
             Ok(answered) => self.answered(link, now, alone, answered).await,
             Err(fault) => {
                 self.lost(&link, fault);
