--- a/crates/sched/src/limit.rs
+++ b/crates/sched/src/limit.rs
@@ -11,7 +11,7 @@
 //! | host | one request in |
 //! |---|---|
 //! | one of `n` that share the limit | `n` / limit |
-//! | any other | [`LOOK`] for each host of the fleet, and again for each before it in the order |
+//! | any other | `LOOK` for each host of the fleet, and again for each before it in the order |
 //!
 //! The others' requests are how they hear that the limit is over. They all hear of a limit within
 //! moments; without the order they would all come back in the same moment too.
