--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -1,18 +1,18 @@
 //! One caller's stream over all engines that run it.
 
+mod forward;
+
 use base::Ms;
-use bytes::Bytes;
-use http_body_util::BodyExt;
 use hyper::Response;
 use hyper::body::Incoming;
 use logs::note;
 use sched::health::Outcome;
 use std::sync::Arc;
 
-use crate::body::{Cut, Out, whole};
+use crate::body::{Out, whole};
 use crate::choose::{Want, choose, source};
 use crate::core::Core;
-use crate::events::{EventStream, Taken};
+use crate::events::EventStream;
 use crate::gate::Barrier;
 use crate::host::App;
 use crate::links::Link;
@@ -21,7 +21,7 @@
 use crate::request::Call;
 use crate::results::Results;
 use crate::send::{Answered, Lease, SendFault, send};
-use crate::{stages, subjects};
+use crate::stages;
 
 /// Engines that are asked at most for one caller's attempt, those that did not run it included.
 const SENDS: usize = 4;
@@ -287,133 +287,6 @@
             crashed(&self.core, &self.call, link);
         }
     }
-
-    /// The next events; none at the end.
-    pub(crate) async fn next(&mut self) -> Option<Result<Bytes, Cut>> {
-        loop {
-            let Some(open) = &mut self.open else { return Some(Err(Cut)) };
-            let now = self.core.clock.now();
-            let left = self.call.deadline - now;
-            let resumable = self.call.route.repeat.is_idempotent();
-            let wait = if resumable { left.min(SILENCE) } else { left };
-            let frame = tokio::time::timeout(wait.duration(), open.body.frame()).await;
-            let fault = match frame {
-                Ok(Some(Ok(frame))) => {
-                    let Ok(data) = frame.into_data() else { continue };
-                    match self.events.take(data) {
-                        Taken::Events(events) if events.is_empty() => continue,
-                        Taken::Events(events) => {
-                            self.first_event();
-                            return Some(Ok(events));
-                        }
-                        Taken::Broken => SendFault::Mismatch,
-                    }
-                }
-                Ok(None) if !self.events.is_partial() => {
-                    self.finish();
-                    return None;
-                }
-                Ok(None) => SendFault::Broken,
-                Ok(Some(Err(_))) => SendFault::Broken,
-                Err(_) => SendFault::Silent,
-            };
-            if let Err(cut) = self.resume(fault).await {
-                return Some(Err(cut));
-            }
-        }
-    }
-
-    fn first_event(&mut self) {
-        let memory = self.memory();
-        let Some(open) = self.open.as_mut().filter(|o| o.first) else { return };
-        open.first = false;
-        let now = self.core.clock.now();
-        let took = now - open.since;
-        open.link.record(now, Outcome::Good(took));
-        let ask = &self.call.ask;
-        open.link.subjects().record(ask.subject(), ask.shared_tokens(), memory);
-        subjects::tell(&self.core, &self.call, &open.link);
-        if open.alone {
-            let tokens = self.call.ask.own_tokens();
-            self.core.estimate().record_first(&self.call.service, tokens, took);
-        }
-        if self.first.is_some() {
-            // A run that goes on: the caller has had its first event.
-            return;
-        }
-        self.first = Some(now);
-        let route = &self.call.route;
-        self.core.metrics.answered(&route.name, now - self.call.arrived, route.aim);
-    }
-
-    fn finish(&mut self) {
-        let Some(open) = self.open.take() else { return };
-        self.core.poison().clear(self.call.fingerprint);
-        self.core.metrics.sent(&self.call.route.name, "good");
-        let now = self.core.clock.now();
-        let late = self.first.unwrap_or(now) - self.call.arrived - self.call.route.aim;
-        if let Some(stands_for) = self.core.sample(late > Ms::ZERO) {
-            note!(
-                logs::Event::RequestServed,
-                request = %self.call.ask.id,
-                route = %self.call.route.name,
-                version = self.call.catalog.version,
-                target = open.link.name(),
-                runs = self.runs,
-                first_ms = self.first.map(|at| (at - self.call.arrived).0),
-                stages_ms = (self.staged - self.call.arrived).0,
-                took_ms = (now - self.call.arrived).0,
-                late_ms = late.0,
-                stands_for
-            );
-        }
-        open.lease.close();
-    }
-
-    /// Goes on at another engine after the last whole event.
-    async fn resume(&mut self, fault: SendFault) -> Result<(), Cut> {
-        // Dropping the connection first: the engine stops before another goes on.
-        if let Some(open) = self.open.take() {
-            let outcome = match fault {
-                SendFault::Silent => Outcome::Silent,
-                _ => Outcome::Broken,
-            };
-            open.link.record(self.core.clock.now(), outcome);
-            self.lost(&open.link, fault);
-        }
-        self.events.restart();
-        while self.may_resume() {
-            // The next engine needs the results of its stages too.
-            if self.results.given_up() && (self.redone || self.redo_stages().await.is_err()) {
-                break;
-            }
-            let left = self.call.left(self.core.clock.now());
-            if left == Ms::ZERO {
-                break;
-            }
-            match self.send(left).await {
-                Sent::Streams(_) => {
-                    self.results.free();
-                    note!(
-                        logs::Event::StreamResumed,
-                        request = %self.call.ask.id,
-                        after = self.events.last()
-                    );
-                    return Ok(());
-                }
-                Sent::NotRun | Sent::Lost | Sent::Gone => {}
-                Sent::Answer(_) | Sent::Barred(_) => break,
-            }
-        }
-        note!(
-            logs::Event::StreamCut,
-            request = %self.call.ask.id,
-            fault = fault.name(),
-            runs = self.runs,
-            left_ms = self.call.left(self.core.clock.now()).0
-        );
-        Err(Cut)
-    }
 }
 
 /// What came of one send.
--- a/crates/edge/src/stages.rs
+++ b/crates/edge/src/stages.rs
@@ -1,27 +1,24 @@
 //! The stages of one request: each handed in as soon as those that it reads are done.
 
-use base::{DomainId, Ms, PoolId, RegionId};
+mod outputs;
+mod place;
+
+use base::{Ms, PoolId};
 use catalog::Batch;
 use futures::StreamExt;
 use futures::future::BoxFuture;
 use futures::stream::FuturesUnordered;
 use logs::note;
 use std::sync::Arc;
-use wire::{StageRelease, StageWork};
+use wire::StageWork;
 
 use crate::host::App;
 use crate::metrics::ALL_STAGES;
 use crate::refusal::Reason;
 use crate::request::Call;
-use crate::results::{self, Results, StageOutput, free};
+use crate::results::{Results, StageOutput};
 use crate::submit::{StageFault, submit};
 
-/// How early a stage beside a longer chain begins, as a multiple of its expected time: late, it
-/// would hold the whole request up.
-const EARLY: (u64, u64) = (3, 2);
-/// Size from which results should not cross regions, bytes: what crosses is paid by volume, and a
-/// request's stage elsewhere costs its host the way there and back.
-const LARGE: u64 = 100_000;
 /// Time between looks at a stage that is held back, ms.
 const LOOK: Ms = Ms(50);
 /// Times that a stage is done again because results that it read are gone.
@@ -226,76 +223,6 @@
         held_back
     }
 
-    /// Whether a stage should begin, so that its results are there about when the others are.
-    ///
-    /// A stage beside a longer chain that begins with it has its results lie at their targets for
-    /// as long as the chain takes. Targets have room for a handful, and calls shrink to what is
-    /// left of it: the stage's targets lose half of what they can do.
-    fn due_now(&self, i: usize) -> bool {
-        let now = self.app.core.clock.now();
-        let left = |j: usize| match (self.done[j].is_some(), self.begun[j]) {
-            (true, _) => Ms::ZERO,
-            (false, None) => self.times[j] + self.after[j],
-            (false, Some(begun)) => self.times[j] - (now - begun) + self.after[j],
-        };
-        let others = (0..self.done.len()).filter(|j| *j != i && !self.leads_to(i, *j));
-        let longest = others.map(left).max().unwrap_or(Ms::ZERO);
-        longest <= self.times[i].scale(EARLY.0, EARLY.1) + self.after[i]
-    }
-
-    /// Whether stage `to` reads results of `from`, directly or not.
-    fn leads_to(&self, from: usize, to: usize) -> bool {
-        let after = &self.call.route.stages[to].after;
-        after.iter().any(|a| *a == from || self.leads_to(from, *a))
-    }
-
-    /// Where a stage should be done: where what it reads lies, if that is much, else here, where
-    /// the engine reads its results. A stage that was passed on to another region would have its
-    /// results cross back otherwise.
-    fn domain(&self, i: usize) -> DomainId {
-        let home = self.home(self.call.route.stages[i].after.iter().copied());
-        home.unwrap_or_else(|| self.app.core.settings().domain.clone())
-    }
-
-    /// The failure domain where the largest of these stages' results lie; none where that is little.
-    fn home(&self, stages: impl Iterator<Item = usize>) -> Option<DomainId> {
-        let size = |(i, output): &(usize, &StageOutput)| {
-            self.call.route.stages[*i].bytes * output.results.len() as u64
-        };
-        let held = stages.filter_map(|i| Some((i, self.held[i].as_ref()?)));
-        let (_, output) = held.filter(|held| size(held) >= LARGE).max_by_key(size)?;
-        let links = self.app.core.links();
-        let target = links.named(&output.results.first()?.target.as_str().into())?;
-        Some(target.entry.domain.clone())
-    }
-
-    /// The region whose composer makes a stage that should be done in `domain`: that domain's, or
-    /// one that the request may be in; none where no such region has a target.
-    fn region(&self, i: usize, domain: &DomainId) -> Option<RegionId> {
-        let core = &self.app.core;
-        let settings = core.settings();
-        let near = settings.region_of(domain).unwrap_or(settings.region());
-        let residency = &self.call.residency;
-        if residency.allows(near) {
-            return Some(near.clone());
-        }
-        let links = core.links();
-        let targets = links.of(&self.call.route.stages[i].service).iter();
-        let regions = targets.filter_map(|l| settings.region_of(&l.entry.domain));
-        // All stages of a request are made in one region, so that results don't cross.
-        let key = self.call.ask.id.as_bytes();
-        base::rendezvous(key, regions.filter(|r| residency.allows(r)), |r| r.as_str()).cloned()
-    }
-
-    /// What only this stage reads, for its composer to give up.
-    fn release(&mut self, i: usize) -> Vec<StageRelease> {
-        let stages = &self.call.route.stages;
-        let only = |a: &usize| stages.iter().filter(|s| s.after.contains(a)).count() == 1;
-        let mine: Vec<usize> = stages[i].after.iter().copied().filter(only).collect();
-        let held = mine.into_iter().filter_map(|a| self.held[a].take());
-        held.map(|output| results::release(&self.app.core, output)).collect()
-    }
-
     fn work(&self, i: usize, pieces: u32) -> StageWork {
         let stage = &self.call.route.stages[i];
         let now = self.app.core.clock.now();
@@ -324,76 +251,6 @@
             release: Vec::new(),
         }
     }
-
-    /// Bytes of results that each piece of a stage reads.
-    fn reads(&self, i: usize) -> u64 {
-        let stages = &self.call.route.stages;
-        let size = |a: &usize| {
-            let count = self.done[*a].as_ref().map_or(0, |handles| handles.len());
-            stages[*a].bytes * count as u64
-        };
-        stages[i].after.iter().map(size).sum()
-    }
-
-    /// When the first of a stage's inputs lapses.
-    fn inputs_lapse(&self, i: usize) -> Ms {
-        let after = &self.call.route.stages[i].after;
-        after.iter().map(|a| self.lapse[*a]).min().unwrap_or(Ms::MAX)
-    }
-
-    fn ended(&mut self, i: usize, output: StageOutput) {
-        let now = self.app.core.clock.now();
-        if let Some(batch) = batch(self.call, &self.call.route.stages[i].service) {
-            // Its first piece may have been made some calls before its last.
-            let made = self.begun[i].unwrap_or(now).max(now - self.times[i]);
-            self.lapse[i] = made + batch.keep;
-        }
-        let service = &self.call.route.stages[i].service;
-        if let Some(begun) = self.begun[i] {
-            self.app.core.estimate().record(service, now - begun);
-            self.app.core.metrics.stage(service.as_str(), now - begun);
-            self.app.core.metrics.predicted(service.as_str(), self.times[i], now - begun);
-        }
-        self.done[i] = Some(output.results.iter().map(|r| r.handle.clone()).collect());
-        self.held[i] = Some(output);
-        // Stages that no one reads any more are given up at once.
-        for before in self.call.route.stages[i].after.clone() {
-            if self.readers_done(before) {
-                self.give_up(before);
-            }
-        }
-    }
-
-    fn readers_done(&self, stage: usize) -> bool {
-        let mut stages = self.call.route.stages.iter().zip(&self.done);
-        stages.all(|(s, done)| done.is_some() || !s.after.contains(&stage))
-    }
-
-    fn give_up(&mut self, stage: usize) {
-        if let Some(output) = self.held[stage].take() {
-            free(self.app, output);
-        }
-    }
-
-    /// What this stage read is gone: it and all that leads to it are done again. What its inputs
-    /// were made from was given up when they had read it.
-    fn redo(&mut self, i: usize) {
-        self.redone += 1;
-        note!(logs::Event::StageRedone, request = %self.call.ask.id, stage = i);
-        self.begun[i] = None;
-        for before in self.call.route.stages[i].after.clone() {
-            self.reset(before);
-        }
-    }
-
-    fn reset(&mut self, i: usize) {
-        self.give_up(i);
-        self.done[i] = None;
-        self.begun[i] = None;
-        for before in self.call.route.stages[i].after.clone() {
-            self.reset(before);
-        }
-    }
 }
 
 impl Drop for Run<'_> {
--- /dev/null
+++ b/crates/sched/src/batch/ends.rs
@@ -0,0 +1,96 @@
+//! What follows from the end of a call.
+
+use base::{Ms, TargetId};
+
+use super::{Batcher, CallEnd, CallId, Effect, PieceEnd, PieceId, SENDS};
+
+impl Batcher {
+    pub(super) fn ended(&mut self, now: Ms, call: CallId, end: CallEnd, out: &mut Vec<Effect>) {
+        let Some((id, pieces)) = self.calls.remove(&call) else { return };
+        if let Some(target) = self.targets.get_mut(&id) {
+            target.learn_room(now, &end, self.shape.room);
+            target.ended(now, call, &end);
+        }
+        self.take_end(now, &id, pieces, end, out);
+        if let Some(target) = self.targets.get_mut(&id) {
+            target.settle(now, self.shape.room);
+        }
+    }
+
+    pub(super) fn take_end(
+        &mut self,
+        now: Ms,
+        id: &TargetId,
+        pieces: Vec<PieceId>,
+        end: CallEnd,
+        out: &mut Vec<Effect>,
+    ) {
+        match end {
+            CallEnd::Done(ends) => {
+                let sound = ends.len() == pieces.len();
+                let ends = ends.into_iter().map(Some).chain(std::iter::repeat(None));
+                for (piece, end) in pieces.into_iter().zip(ends) {
+                    match end {
+                        Some(PieceEnd::Made(handle)) if sound => {
+                            self.made(now, id, piece, handle, out);
+                        }
+                        Some(PieceEnd::Gone) if sound => self.finish(piece, PieceEnd::Gone, out),
+                        Some(PieceEnd::Late) if sound => self.finish(piece, PieceEnd::Late, out),
+                        Some(PieceEnd::Room) if sound => self.again(now, piece, false, out),
+                        _ => self.again(now, piece, true, out),
+                    }
+                }
+            }
+            CallEnd::Full | CallEnd::Barred(_) | CallEnd::Moved | CallEnd::NoConnection => {
+                pieces.into_iter().for_each(|p| self.again(now, p, false, out));
+            }
+            CallEnd::Broken | CallEnd::Silent => {
+                pieces.into_iter().for_each(|p| self.again(now, p, true, out));
+            }
+        }
+    }
+
+    pub(super) fn made(
+        &mut self,
+        now: Ms,
+        target: &TargetId,
+        piece: PieceId,
+        handle: String,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(waiting) = self.pieces.remove(&piece) else {
+            // Withdrawn, or made twice: nobody reads it.
+            out.push(Effect::Free { target: target.clone(), handle });
+            return;
+        };
+        if let Some(target) = self.targets.get_mut(target) {
+            target.room.keep(now, handle.clone(), waiting.piece.bytes, now + self.shape.keep);
+        }
+        let target = Some(target.clone());
+        out.push(Effect::End { piece, end: PieceEnd::Made(handle), target });
+    }
+
+    pub(super) fn finish(&mut self, piece: PieceId, end: PieceEnd, out: &mut Vec<Effect>) {
+        if self.pieces.remove(&piece).is_some() {
+            out.push(Effect::End { piece, end, target: None });
+        }
+    }
+
+    /// A call ended without this piece's result. `counts` says whether the target took the call.
+    pub(super) fn again(&mut self, now: Ms, piece: PieceId, counts: bool, out: &mut Vec<Effect>) {
+        let Some(waiting) = self.pieces.get_mut(&piece) else { return };
+        // Another call may have it under way, after this one was overdue.
+        let elsewhere = self.calls.values().any(|(_, pieces)| pieces.contains(&piece));
+        if waiting.queued || elsewhere {
+            return;
+        }
+        if !counts {
+            waiting.sends -= 1;
+        }
+        if waiting.sends >= SENDS || (counts && !self.budget.take(now, &self.service)) {
+            self.finish(piece, PieceEnd::Failed, out);
+            return;
+        }
+        waiting.queued = true;
+    }
+}
--- /dev/null
+++ b/crates/sched/src/batch/fill.rs
@@ -0,0 +1,120 @@
+//! Which free target gets a call, and with which pieces.
+
+use base::{DomainId, Ms, TargetId};
+use std::collections::HashSet;
+
+use super::target::Target;
+use super::{Batcher, CALL_WEIGHT, CallId, Effect, Piece, PieceId, Waiting, order};
+
+impl Batcher {
+    /// Gives every target that is free, or about to be, a call.
+    ///
+    /// Of the targets of a region a piece goes to one in the failure domain where its inputs lie, as
+    /// long as one is free there: results that cross domains are paid by volume. No target idles
+    /// for it.
+    pub(super) fn fill(&mut self, now: Ms, out: &mut Vec<Effect>) {
+        let mut passed = HashSet::new();
+        while self.pieces.values().any(|w| w.queued) {
+            let Some(id) = self.free_target(now, &passed) else { return };
+            let others = self.free_domains(now, &passed, &id);
+            let pieces = self.choose(now, &id, &others);
+            match pieces.is_empty() {
+                true => drop(passed.insert(id)),
+                false => self.call(now, id, pieces, out),
+            }
+        }
+    }
+
+    /// Failure domains in which other targets than `id` would take a call now.
+    pub(super) fn free_domains(
+        &self,
+        now: Ms,
+        passed: &HashSet<TargetId>,
+        id: &TargetId,
+    ) -> HashSet<&DomainId> {
+        let free = |(name, t): &(&TargetId, &Target)| {
+            *name != id && self.takes(now, t) && !passed.contains(*name)
+        };
+        self.targets.iter().filter(free).map(|(_, t)| &t.domain).collect()
+    }
+
+    pub(super) fn takes(&self, now: Ms, target: &Target) -> bool {
+        target.usable(now) && target.accepts(now, self.shape.slots)
+    }
+
+    pub(super) fn free_target(&self, now: Ms, passed: &HashSet<TargetId>) -> Option<TargetId> {
+        let best = self.targets.values().filter(|t| t.usable(now)).map(Target::speed);
+        let best = best.fold(f64::INFINITY, f64::min);
+        let soonest = self.targets.values().filter(|t| t.usable(now) && !t.slow(best));
+        let soonest = soonest.map(|t| t.free_at(now)).min();
+        let normal = self.shape.full();
+        let worth = |t: &Target| match soonest {
+            // A slow target is left alone while a normal one would end the same call sooner.
+            Some(free) if t.slow(best) => {
+                t.probe_due(now) || free + normal > now + t.scaled(normal)
+            }
+            _ => true,
+        };
+        let takes =
+            |id: &TargetId, t: &Target| self.takes(now, t) && worth(t) && !passed.contains(id);
+        let free = self.targets.iter().filter(|(id, t)| takes(id, t));
+        free.min_by(|(_, a), (_, b)| {
+            a.rank(now).partial_cmp(&b.rank(now)).unwrap_or(std::cmp::Ordering::Equal)
+        })
+        .map(|(id, _)| id.clone())
+    }
+
+    /// The pieces of the next call to a target, without those that a free one of `others` is for.
+    pub(super) fn choose(
+        &self,
+        now: Ms,
+        id: &TargetId,
+        others: &HashSet<&DomainId>,
+    ) -> Vec<PieceId> {
+        let Some(target) = self.targets.get(id) else { return Vec::new() };
+        let far = |w: &Waiting| w.piece.home.as_ref().is_some_and(|home| *home != target.domain);
+        let allowed = |w: &Waiting| target.allows(&w.piece);
+        let for_other = |w: &Waiting| {
+            let home = w.piece.home.as_ref();
+            far(w) && home.is_some_and(|h| others.contains(h) || self.waits_for(now, h, &w.piece))
+        };
+        let queued: Vec<order::Queued<'_>> = self
+            .pieces
+            .iter()
+            .filter(|(_, w)| w.queued && allowed(w) && !for_other(w))
+            .map(|(id, w)| order::Queued { id: *id, piece: &w.piece, since: w.since, far: far(w) })
+            .collect();
+        let count = queued.len().min(self.shape.size);
+        let call = target.scaled(self.shape.time(count));
+        let end = target.free_at(now) + call;
+        let room = self.shape.room.saturating_sub(target.kept(now));
+        order::choose(queued, now, end, call, &self.shape, room)
+    }
+
+    pub(super) fn call(&mut self, now: Ms, id: TargetId, ids: Vec<PieceId>, out: &mut Vec<Effect>) {
+        let left = self.queued() - ids.len();
+        let late = ids.iter().filter_map(|id| self.pieces.get(id));
+        let late = late.filter(|w| self.is_late(now, &w.piece)).count();
+        self.late.record(now, late);
+        let Some(target) = self.targets.get_mut(&id) else { return };
+        if left > 0 {
+            self.fill += CALL_WEIGHT * (ids.len() as f64 - self.fill);
+        }
+        self.next += 1;
+        let call = CallId(self.next);
+        let time = self.shape.time(ids.len());
+        let mut pieces = Vec::with_capacity(ids.len());
+        for piece in &ids {
+            let Some(waiting) = self.pieces.get_mut(piece) else { continue };
+            waiting.queued = false;
+            waiting.sends += 1;
+            pieces.push(waiting.piece.clone());
+        }
+        let bytes: u64 = pieces.iter().map(|p: &Piece| p.bytes).sum();
+        let known = self.bytes.get_or_insert(bytes as f64);
+        *known += CALL_WEIGHT * (bytes as f64 - *known);
+        let timeout = target.begin(now, call, time, bytes);
+        self.calls.insert(call, (id.clone(), ids.clone()));
+        out.push(Effect::Call { call, target: id, pieces, ids, timeout });
+    }
+}
