A host that was paused does not take others for lost

Cause: after a pause all timers of a process are due while answers that came meanwhile are unread. Each host took its own pause for the silence of the reader, of the store and of other hosts. Change: base::PauseMeter measures lost time from turns every 100 ms; calls between hosts and reads of the store whose time ran out in a pause are made once more; the reader is asked once more before it is skipped (sched::store_reader); a host's own late reads don't make it give the reading up; a request with a key waits up to 200 ms after a pause for the read under way; suspicions wait for late rounds. The age of proofs counts all time as before, so a revoked key works no longer than it did. Looked for elsewhere: a reader told an urgent asker a proof about to be overdue, and waited the whole query after its read had failed; a configuration is now in force before its proof counts.

--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -5,6 +5,7 @@
 mod clock;
 mod hash;
 mod id;
+mod pause;
 
 pub use clock::{BootClock, Clock, ManualClock, Ms, SystemClock};
 pub use hash::{hash_parts, rendezvous};
@@ -12,3 +13,4 @@
     Attempt, ChangeId, DomainId, Generation, HostId, IdError, Key, ModelId, PipelineId, PoolId,
     RegionId, RequestId, StageId, TargetId, Version, WorkspaceId,
 };
+pub use pause::{PauseMeter, TURN_INTERVAL};
--- a/crates/edge/src/core.rs
+++ b/crates/edge/src/core.rs
@@ -3,8 +3,8 @@
 mod known;
 
 use arc_swap::{ArcSwap, ArcSwapOption, Guard};
-use base::{Clock, Ms, TargetId};
-use catalog::{Catalog, Limits, Proof, Residency};
+use base::{Clock, Ms, PauseMeter, TargetId};
+use catalog::{Catalog, Limits, Residency};
 use logs::note;
 use sched::budget::{Allowance, RetryBudget};
 use sched::directory::Directory;
@@ -33,6 +33,8 @@
     pub(crate) dialect: Arc<dyn Dialect>,
     pub(crate) metrics: Metrics,
     pub(crate) members: Members,
+    /// For how long this host did not run.
+    pub(crate) pauses: Arc<PauseMeter>,
     /// Evacuated failure domains, and the hosts that share the request limit of cold targets.
     pub(crate) gate: Gate,
     /// Liveness checks of the hosts whose results this one waits for.
@@ -52,8 +54,10 @@
     store_readers: Mutex<StoreReaders>,
     /// Whether this host reads the store itself.
     store_reader: watch::Sender<bool>,
-    /// Notifies when a read has proved that the configuration is current.
+    /// Notifies when a read of the configuration has proved that it is current, or has failed.
     proofs: watch::Sender<()>,
+    /// When a read of the configuration failed last, in ms; 0 before the first failure.
+    read_failed: AtomicU64,
     sampler: Mutex<Sampler>,
     silences: Mutex<SilenceDetector>,
     stopping: AtomicBool,
@@ -101,6 +105,7 @@
         dialect: Arc<dyn Dialect>,
         clock: Arc<dyn Clock>,
         members: Members,
+        pauses: Arc<PauseMeter>,
         metrics: Metrics,
     ) -> Self {
         let revoke = settings.bounds.revoke_strict.then_some(settings.bounds.revoke_ms);
@@ -108,6 +113,7 @@
             dialect,
             metrics,
             members,
+            pauses,
             gate: Gate::new(clock.now(), &settings),
             liveness: LivenessProbes::default(),
             changed: watch::Sender::new(()),
@@ -128,6 +134,7 @@
             store_readers: Mutex::default(),
             store_reader: watch::Sender::new(true),
             proofs: watch::Sender::new(()),
+            read_failed: AtomicU64::new(0),
             sampler: Mutex::default(),
             silences: Mutex::default(),
             stopping: AtomicBool::new(false),
@@ -257,14 +264,21 @@
     /// current if it has keys, evacuations are known, there are targets, and the host isn't
     /// stopping.
     pub(crate) fn ready(&self) -> bool {
-        let current = match self.declared.load().as_ref() {
-            Some(declared) if declared.catalog.needs_keys() => self.proof() == Proof::Current,
-            Some(_) => true,
-            None => false,
-        };
+        let current = self.version().is_some() && self.keys_usable();
         current && self.knows_evacuations() && !self.stopping() && self.links().ready() > 0
     }
 
+    /// Records that a read of the configuration failed.
+    pub(crate) fn record_failed_read(&self) {
+        self.read_failed.store(self.clock.now().0, Ordering::Relaxed);
+        self.notify_proof();
+    }
+
+    /// When a read of the configuration failed last; zero before the first failure.
+    pub(crate) fn read_failed(&self) -> Ms {
+        Ms(self.read_failed.load(Ordering::Relaxed))
+    }
+
     /// Up to this time stage results are kept until the engine's answer begins; after it, they are
     /// released soon after the send.
     pub(crate) fn keep_results_until(&self) -> Ms {
--- a/crates/edge/src/core/known.rs
+++ b/crates/edge/src/core/known.rs
@@ -26,6 +26,10 @@
 /// requests: the time of two lists and a slow answer.
 const OVERDUE_EVACUATION_PERCENT: u64 = 70;
 
+/// Time after a pause within which a host that reaches the store, or a host that reads it, has a
+/// new proof: a few round trips.
+const PROOF_TIME: Ms = Ms(200);
+
 /// What a host knows of the platform's store.
 pub(super) struct StoreView {
     registry: Registry,
@@ -35,6 +39,8 @@
     /// Until when missing targets are kept, since their registrations may have lapsed in an outage
     /// of the store.
     lapse: Ms,
+    /// Time for which this host had not run when the newest proof arrived.
+    paused: Ms,
 }
 
 impl StoreView {
@@ -46,6 +52,7 @@
             freshness: Freshness::new(revoke),
             log: ChangeLog::default(),
             lapse: Ms::ZERO,
+            paused: Ms::ZERO,
         }
     }
 
@@ -58,8 +65,15 @@
     /// Applies the result of a linearizable read that was sent at `sent`: `found` is the newest
     /// configuration, if it is newer than the one held.
     pub(crate) fn apply_catalog(&self, sent: Ms, found: Option<&Declared>) {
+        if let Some(found) = found {
+            self.apply_declared(sent, found);
+        }
+        // Last: another thread that saw the new proof beside the old configuration would serve
+        // keys that the new one revokes.
         self.record_proof(sent);
-        let Some(found) = found else { return };
+    }
+
+    fn apply_declared(&self, sent: Ms, found: &Declared) {
         let version = found.catalog.version;
         let held = self.version();
         if held.is_some_and(|held| held >= version) {
@@ -82,11 +96,19 @@
 
     /// Records that a linearizable read, sent at `sent`, found nothing newer than what is held.
     pub(crate) fn record_proof(&self, sent: Ms) {
-        lock(&self.store).freshness.prove(sent);
+        let mut view = lock(&self.store);
+        view.freshness.prove(sent);
+        view.paused = self.pauses.lost();
+        drop(view);
+        self.notify_proof();
+    }
+
+    /// Notifies of the end of a read of the configuration.
+    pub(super) fn notify_proof(&self) {
         self.proofs.send_replace(());
     }
 
-    /// Notifies when a read has proved that the configuration is current.
+    /// Notifies when a read of the configuration has proved that it is current, or has failed.
     pub(crate) fn proofs(&self) -> watch::Receiver<()> {
         self.proofs.subscribe()
     }
@@ -125,18 +147,33 @@
     /// Whether the newest proof is older than it can be while the store, or a host that reads it,
     /// answers this host.
     pub(crate) fn proof_overdue(&self) -> bool {
+        self.proof_overdue_at(self.clock.now())
+    }
+
+    /// Whether the newest proof is overdue at `at`.
+    pub(crate) fn proof_overdue_at(&self, at: Ms) -> bool {
         let bounds = &self.settings().bounds;
-        if let Some(most) =
-            bounds.evacuate_ms.map(|bound| bound.scale(OVERDUE_EVACUATION_PERCENT, 100))
-        {
-            let proved = self.gate.evacuations().proved();
-            if proved.is_none_or(|at| self.clock.now() - at > most) {
-                return true;
-            }
-        }
+        let overdue = |proved: Option<Ms>, most| proved.is_none_or(|proved| at - proved > most);
+        let evacuation = bounds.evacuate_ms.is_some_and(|bound| {
+            let most = bound.scale(OVERDUE_EVACUATION_PERCENT, 100);
+            overdue(self.gate.evacuations().proved(), most)
+        });
         let keys = bounds.revoke_ms.scale(OVERDUE_KEYS_PERCENT, 100);
-        let most = keys.min(bounds.config_ms.scale(OVERDUE_CHANGE_PERCENT, 100));
-        self.proof_age().is_none_or(|age| age > most)
+        let change = bounds.config_ms.scale(OVERDUE_CHANGE_PERCENT, 100);
+        evacuation || overdue(self.proved(), keys.min(change))
+    }
+
+    /// Whether the newest proof is overdue even without the time for which this host did not run. If
+    /// not, its own reads of the store are only late, and say nothing of the store.
+    pub(crate) fn store_silent(&self) -> bool {
+        let paused = self.pauses.lost() - lock(&self.store).paused;
+        self.proof_overdue_at(self.clock.now() - paused)
+    }
+
+    /// Whether the configuration needs no keys, or keys may be served now.
+    pub(crate) fn keys_usable(&self) -> bool {
+        let needed = self.catalog().is_some_and(|catalog| catalog.needs_keys());
+        !needed || self.proof() == Proof::Current
     }
 
     /// Whether keys may be served now.
@@ -144,6 +181,24 @@
         lock(&self.store).freshness.check(self.clock.now())
     }
 
+    /// Waits until the proof satisfies `current`, if this host has just been paused.
+    ///
+    /// After a pause the proof is old, and the read that renews it is under way. A caller that is
+    /// refused at this moment could come back no sooner than that read is answered; a host that is
+    /// told the old proof would look for another reader. Returns at once if the host has run long
+    /// enough for a read.
+    pub(crate) async fn renewed_after_pause(&self, current: impl Fn(&Self) -> bool) {
+        let mut proofs = self.proofs();
+        while !current(self) {
+            let rest = self.pauses.ended() + PROOF_TIME - self.clock.now();
+            if rest == Ms::ZERO {
+                return;
+            }
+            // The sender lives in `self`; a time-out is noticed above.
+            let _ = tokio::time::timeout(rest.duration(), proofs.changed()).await;
+        }
+    }
+
     /// When the last read was sent that proved the configuration; none before the first.
     pub(crate) fn proved(&self) -> Option<Ms> {
         lock(&self.store).freshness.proved()
--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -52,7 +52,7 @@
         let _ = reading.wait_for(|reads| *reads).await;
         let sent = core.clock.now();
         core.metrics.store_call("read");
-        match read_catalog(directory.as_ref()).await {
+        match read_catalog(&core, directory.as_ref()).await {
             Ok(found) => {
                 backoff.succeeded();
                 core.apply_catalog(sent, found.as_ref());
@@ -60,6 +60,7 @@
                 tokio::time::sleep(delay.duration()).await;
             }
             Err(err) => {
+                core.record_failed_read();
                 backoff.failed(&err, "catalog");
                 tokio::time::sleep(backoff.delay(core.draw()).duration()).await;
             }
@@ -80,8 +81,11 @@
     (core.settings().bounds.drain_ms - WATCH_MARGIN).min(MAX_WATCH)
 }
 
-async fn read_catalog(directory: &dyn Directory) -> Result<Option<Declared>, DirectoryError> {
-    let page = with_timeout(STORE_TIMEOUT, directory.list(Kind::Catalog, None)).await?;
+async fn read_catalog(
+    core: &Core,
+    directory: &dyn Directory,
+) -> Result<Option<Declared>, DirectoryError> {
+    let page = read(core, STORE_TIMEOUT, || directory.list(Kind::Catalog, None)).await?;
     let mut newest: Option<Declared> = None;
     for record in page.records {
         match record.body {
@@ -103,7 +107,7 @@
 pub(crate) async fn once(core: &Core, directory: &dyn Directory) -> Result<(), DirectoryError> {
     let sent = core.clock.now();
     core.metrics.store_call("read");
-    let found = read_catalog(directory).await?;
+    let found = read_catalog(core, directory).await?;
     core.apply_catalog(sent, found.as_ref());
     evacuate::once(core, directory).await?;
     let Some(since) = core.revision() else { return Ok(()) };
@@ -119,8 +123,8 @@
     since: Revision,
     wait: Ms,
 ) -> Result<bool, DirectoryError> {
-    let watch = directory.watch(Kind::Targets, since, wait);
-    let Updates { changes, revision } = with_timeout(wait + STORE_TIMEOUT, watch).await?;
+    let watch = || directory.watch(Kind::Targets, since, wait);
+    let Updates { changes, revision } = read(core, wait + STORE_TIMEOUT, watch).await?;
     let changed = !changes.is_empty();
     let updates = changes.into_iter().map(|change| match change {
         Change::Removed(id) => Update::Removed(id),
@@ -231,9 +235,9 @@
     let mut after: Option<String> = None;
     let mut first = None;
     loop {
-        let list = directory.list(kind, after.as_deref());
+        let list = || directory.list(kind, after.as_deref());
         core.metrics.store_call("list");
-        let page = with_timeout(STORE_TIMEOUT, list).await?;
+        let page = read(core, STORE_TIMEOUT, list).await?;
         records.extend(page.records);
         // Of the first page: the watch from there also reports changes made between two pages.
         let since = *first.get_or_insert(page.revision);
@@ -255,6 +259,22 @@
     }
 }
 
+/// One call that reads from the store. If it failed because its time ran out while this host did
+/// not run, it is sent once more: the store would count as unreachable, and another host would take
+/// over the reading, although the store has answered.
+async fn read<T, F>(core: &Core, within: Ms, call: impl Fn() -> F) -> Result<T, DirectoryError>
+where
+    F: Future<Output = Result<T, DirectoryError>>,
+{
+    let before = core.pauses.lost();
+    match with_timeout(within, call()).await {
+        Err(DirectoryError::Down) if core.pauses.excuses(before) => {
+            with_timeout(within, call()).await
+        }
+        result => result,
+    }
+}
+
 async fn with_timeout<T>(
     timeout: Ms,
     call: impl Future<Output = Result<T, DirectoryError>>,
--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -1,6 +1,6 @@
 //! Starts and stops one edge host, and holds the state that its parts share.
 
-use base::{Clock, Ms};
+use base::{Clock, Ms, PauseMeter};
 use gossip::Node;
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
@@ -22,7 +22,7 @@
 use crate::members::{self, Members};
 use crate::metrics::Metrics;
 use crate::settings::Settings;
-use crate::{accept, evacuate, follow, notify, reload, source};
+use crate::{accept, evacuate, follow, notify, pause, reload, source};
 
 /// Time for which a stopping host still accepts requests. The platform checks readiness every
 /// second, and sends no more callers after two responses that the host isn't ready.
@@ -109,10 +109,11 @@
     ) -> Result<Self, HostError> {
         let peer = settings.peer;
         let listen = |source| HostError::Listen { addr: peer, source };
+        let pauses = Arc::new(PauseMeter::new(clock.clone()));
         let (members, node, outbox) =
-            Members::start(&settings, clock.clone()).await.map_err(listen)?;
+            Members::start(&settings, clock.clone(), pauses.clone()).await.map_err(listen)?;
         let (addr, ready, metrics) = (settings.listen, settings.ready, settings.metrics);
-        let core = Arc::new(Core::new(settings, dialect, clock, members, Metrics::new()?));
+        let core = Arc::new(Core::new(settings, dialect, clock, members, pauses, Metrics::new()?));
         let composer = Arc::new(Composer::new(core.clone()));
         members::serve(&node, Arc::new(StageService(composer.clone())));
         let app = Arc::new(App {
@@ -132,6 +133,7 @@
             tokio::spawn(notify::prompts(core.clone(), outbox.prompts)),
             tokio::spawn(notify::limits(core.clone(), outbox.limits)),
             tokio::spawn(count_hosts(core.clone())),
+            tokio::spawn(pause::follow(core.clone())),
         ];
         let mut aux = vec![listen_aux(ready, Ready(core.clone())).await?];
         if let Some(addr) = metrics {
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -30,6 +30,7 @@
 mod metrics;
 mod notices;
 mod notify;
+mod pause;
 mod plain;
 mod refusal;
 mod relay;
--- a/crates/edge/src/members.rs
+++ b/crates/edge/src/members.rs
@@ -1,7 +1,7 @@
 //! The other hosts of the fleet: which of them is responsible for what, such as composing the calls
 //! of a service, and the news that they need at once.
 
-use base::{Clock, DomainId, HostId, Ms, PoolId, RegionId, TargetId};
+use base::{Clock, DomainId, HostId, Ms, PauseMeter, PoolId, RegionId, TargetId};
 use gossip::{Node, NodeConfig};
 use peer::{PeerClient, StagePeers, StageServer, View, ViewHost};
 use sched::assignment;
@@ -73,6 +73,7 @@
     pub(crate) async fn start(
         settings: &Settings,
         clock: Arc<dyn Clock>,
+        pauses: Arc<PauseMeter>,
     ) -> std::io::Result<(Self, Node, Outbox)> {
         let config = NodeConfig {
             settings: node_settings(settings),
@@ -85,7 +86,7 @@
         let members = Self {
             me: settings.host.clone(),
             view: node.view(),
-            peers: Arc::new(PeerClient::new(PEER_TIMEOUT)),
+            peers: Arc::new(PeerClient::new(PEER_TIMEOUT).with_pauses(pauses)),
             clock,
             suspects: Mutex::default(),
             crashes,
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -26,6 +26,7 @@
     connections: Counter<u64>,
     store: Counter<u64>,
     notices: Counter<u64>,
+    pauses: Histogram<u64>,
 }
 
 impl Metrics {
@@ -48,6 +49,7 @@
             passed: meter.u64_counter("edge_passed_on").build(),
             store: meter.u64_counter("edge_store_calls").build(),
             notices: meter.u64_counter("edge_target_notices").build(),
+            pauses: meter.u64_histogram("edge_pause_ms").build(),
             connections: meter.u64_counter("edge_connections_refused").build(),
             provider,
         })
@@ -108,6 +110,11 @@
         self.passed.add(1, &[KeyValue::new("service", service.to_owned())]);
     }
 
+    /// Records a time for which this host did not run.
+    pub(crate) fn paused(&self, pause: Ms) {
+        self.pauses.record(pause.0, &[]);
+    }
+
     /// Counts a caller's connection that was refused.
     pub(crate) fn refused_connection(&self) {
         self.connections.add(1, &[]);
--- a/crates/edge/src/request.rs
+++ b/crates/edge/src/request.rs
@@ -147,6 +147,8 @@
     let core = &app.core;
     let requested = head.deadline.unwrap_or(DEFAULT_DEADLINE);
     let refused = |reason| (reason, requested);
+    // Before the configuration is looked at: the read that renews the proof may bring a new one.
+    core.renewed_after_pause(Core::keys_usable).await;
     let catalog = core.catalog().ok_or(refused(Reason::NoConfig))?;
     let host = parts.headers.get(header::HOST).and_then(|h| h.to_str().ok());
     let host = host.or(parts.uri.host()).unwrap_or_default();
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -18,6 +18,9 @@
 
 /// Longest wait that a query may ask for.
 const MAX_WAIT: Ms = Ms::secs(5);
+/// Time that an answer may take to the host that asked: as long as a host may be denied the
+/// processor by its quota, and a round trip.
+const ANSWER_MARGIN: Ms = Ms(200);
 /// Largest decompressed text of a configuration, bytes: values of the store are at most a megabyte,
 /// and without a limit a corrupt message could expand until the host is out of memory.
 const MAX_TEXT_BYTES: u64 = 8 << 20;
@@ -76,12 +79,15 @@
     core.store_readers().asked(arrived);
     core.set_store_reader(true);
     loop {
+        core.renewed_after_pause(is_fresh).await;
         let news = news(core, &query, arrived);
         let rest = end - core.clock.now();
-        let fresh = query.urgent && !core.proof_overdue();
+        let fresh = query.urgent && is_fresh(core);
         let newer = core.gate.evacuations().changed() > Some(query.evacuation);
         let changed = newer || !news.catalog.is_empty() || !news.updates.is_empty();
-        if fresh || changed || rest == Ms::ZERO {
+        // The host that asks urgently is told at once, and asks another.
+        let failed = query.urgent && core.read_failed() >= arrived;
+        if fresh || failed || changed || rest == Ms::ZERO {
             core.store_readers().asked(core.clock.now());
             return news;
         }
@@ -93,6 +99,12 @@
     }
 }
 
+/// Whether the proof will still not be overdue when another host gets it. If not, that host would
+/// give this one up as reader, although the next read is about to be answered.
+fn is_fresh(core: &Core) -> bool {
+    !core.proof_overdue_at(core.clock.now() + ANSWER_MARGIN)
+}
+
 /// What this host knows that the querying host lacks.
 fn news(core: &Core, query: &StoreQuery, arrived: Ms) -> StoreNews {
     let declared = core.declared();
--- a/crates/edge/src/source.rs
+++ b/crates/edge/src/source.rs
@@ -86,7 +86,7 @@
 fn next_step(core: &Core) -> Step {
     let now = core.clock.now();
     let reader = reader(core, now);
-    if matches!(reader, Some(Owner::Me)) && core.proof_overdue() {
+    if matches!(reader, Some(Owner::Me)) && core.store_silent() {
         // The store rejects the calls of this host, or can't be reached from it. Another host may
         // still be served.
         core.store_readers().failed(now, core.members.me(), ReaderFault::Stale);
@@ -127,15 +127,23 @@
         evacuation: core.gate.evacuations().known().unwrap_or_default(),
     };
     let sent = core.clock.now();
+    let paused = core.pauses.lost();
     let answer = core.members.peers().store(addr, query).await;
     let now = core.clock.now();
     match answer {
         Err(err) => {
             note!(logs::Event::PeerFailed, host = %host, call = "store", why = %err);
-            core.store_readers().failed(now, host, ReaderFault::Unreachable);
+            let fault = match core.pauses.excuses(paused) {
+                true => ReaderFault::Unheard,
+                false => ReaderFault::Unreachable,
+            };
+            core.store_readers().failed(now, host, fault);
         }
         Ok(news) => match shared::apply(core, directory, sent, news) {
-            Ok(()) if !core.proof_overdue() => core.store_readers().helped(),
+            // The answer may have waited for this host to run again.
+            Ok(()) if !core.proof_overdue_at(now - (core.pauses.lost() - paused)) => {
+                core.store_readers().helped();
+            }
             taken => {
                 let why = taken.err().map(|err| err.to_string());
                 note!(logs::Event::PeerFailed, host = %host, call = "store", why);
--- a/crates/gossip/src/members.rs
+++ b/crates/gossip/src/members.rs
@@ -201,6 +201,12 @@
         true
     }
 
+    /// Gives suspected hosts `time` more to refute the suspicion.
+    pub(crate) fn extend_suspicions(&mut self, time: Ms) {
+        let suspected = |r: &&mut Record| r.member.status() == HostStatus::Suspect;
+        self.records.values_mut().filter(suspected).for_each(|r| r.since += time);
+    }
+
     /// Marks hosts as dead that have been suspected for `suspect_ms`, and forgets hosts that have
     /// been dead for long. Returns the newly dead.
     pub(crate) fn expire(&mut self, now: Ms, suspect_ms: Ms) -> Vec<String> {
--- a/crates/gossip/src/round.rs
+++ b/crates/gossip/src/round.rs
@@ -67,6 +67,12 @@
 
     fn round(&mut self, now: Ms, out: &mut Vec<Effect>) {
         let interval = self.config.gossip_ms;
+        // A round that is late by a whole interval: this host did not run, and could not hear that a
+        // suspected host is alive.
+        let late = now - self.next_round;
+        if late >= interval {
+            self.members.extend_suspicions(late);
+        }
         let joining = self.joining(now);
         // Without jitter, hosts that started together would call at the same time for ever.
         let jitter = Ms(self.rng.random_range(0..=interval.0 / 5));
--- a/crates/logs/src/event.rs
+++ b/crates/logs/src/event.rs
@@ -56,6 +56,7 @@
     HostDraining = 101, Info, "The host is draining: it accepts no new requests and finishes the open ones.";
     HostStopped = 102, Info, "The host stopped; no request is open any more.";
     DrainOverrun = 103, Error, "The drain time-out expired with requests still open; they were aborted.";
+    HostPaused = 104, Warn, "The host did not run for a while: it was suspended or kept off the processor.";
     RequestRefused = 200, Info, "A request was refused or abandoned.";
     RequestMalformed = 201, Info, "A caller's request could not be parsed.";
     StreamResumed = 202, Info, "A stream broke and is resumed on another target after its last complete event.";
--- a/crates/peer/src/client.rs
+++ b/crates/peer/src/client.rs
@@ -1,7 +1,7 @@
 //! Calls to other hosts over tarpc, on one pooled connection for each host.
 
 use async_trait::async_trait;
-use base::Ms;
+use base::{Ms, PauseMeter};
 use std::collections::HashMap;
 use std::future::Future;
 use std::net::SocketAddr;
@@ -42,6 +42,7 @@
 /// another.
 pub struct PeerClient {
     call_timeout: Ms,
+    pauses: Option<Arc<PauseMeter>>,
     next_id: AtomicU64,
     pooled: Mutex<HashMap<SocketAddr, PooledConnection>>,
 }
@@ -68,7 +69,16 @@
 impl PeerClient {
     /// Calls fail after `call_timeout` without an answer.
     pub fn new(call_timeout: Ms) -> Self {
-        Self { call_timeout, next_id: AtomicU64::new(0), pooled: Mutex::default() }
+        Self { call_timeout, pauses: None, next_id: AtomicU64::new(0), pooled: Mutex::default() }
+    }
+
+    /// With a meter of this process's pauses, a call whose time ran out in one is sent once more.
+    ///
+    /// Without it, a host that was kept off the processor takes all hosts that it was calling for
+    /// dead, although they have answered, and takes over their duties. One repetition is enough: it
+    /// begins when the process runs again.
+    pub fn with_pauses(self, pauses: Arc<PauseMeter>) -> Self {
+        Self { pauses: Some(pauses), ..self }
     }
 
     /// Closes all connections.
@@ -137,7 +147,26 @@
     where
         F: Future<Output = Result<T, RpcError>>,
     {
-        self.call_within(to, self.call_timeout, call).await
+        self.call_running(to, self.call_timeout, call).await
+    }
+
+    /// One call that may take up to `within`; connecting is still limited by the call timeout. If
+    /// the time ran out while this process did not run, the call is sent once more.
+    async fn call_running<T, F>(
+        &self,
+        to: SocketAddr,
+        within: Ms,
+        call: impl Fn(Arc<Connection>, context::Context) -> F,
+    ) -> Result<T, PeerError>
+    where
+        F: Future<Output = Result<T, RpcError>>,
+    {
+        let before = self.pauses.as_ref().map_or(Ms::ZERO, |p| p.lost());
+        let excused = || self.pauses.as_ref().is_some_and(|p| p.excuses(before));
+        match self.call_within(to, within, &call).await {
+            Err(PeerError::Silent) if excused() => self.call_within(to, within, &call).await,
+            result => result,
+        }
     }
 
     /// One call that may take up to `within`; connecting is still limited by the call timeout.
@@ -229,6 +258,7 @@
             let work = work.clone();
             async move { connection.client.submit(context, work).await }
         };
+        // The pieces expire then, whoever was paused.
         self.call_within(to, within, call).await?.ok_or(PeerError::Refused)
     }
 
--- a/crates/peer/tests/calls.rs
+++ b/crates/peer/tests/calls.rs
@@ -1,7 +1,7 @@
 //! Calls between hosts over real sockets.
 
 use async_trait::async_trait;
-use base::Ms;
+use base::{BootClock, Ms, PauseMeter};
 use peer::{Listener, PeerClient, PeerError, PeerHandler, Peers, answer_bytes, call_bytes};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
@@ -214,3 +214,23 @@
     assert!(seen.abs_diff(expected) <= 32, "{seen} on the wire, {expected} counted");
     assert!(answer_bytes(&exchange) < expected);
 }
+
+/// The process did not run while a call waited. The answer may have come and gone, so the far end is
+/// called once more before it is taken for lost.
+#[tokio::test]
+async fn a_call_whose_time_ran_out_in_a_pause_is_sent_once_more() {
+    let (listener, _) = start_echo().await;
+    let (addr, silent) = relay(listener.addr(), Fault::Silent).await;
+    let pauses = Arc::new(PauseMeter::new(Arc::new(BootClock::new())));
+    let client = PeerClient::new(Ms(400)).with_pauses(pauses.clone());
+    client.exchange(addr, Exchange::default()).await.unwrap();
+    silent.store(true, Ordering::SeqCst);
+    pauses.turn();
+    let pause = async {
+        tokio::time::sleep(Ms(50).duration()).await;
+        std::thread::sleep(Ms(800).duration());
+    };
+    let (answer, ()) = tokio::join!(client.exchange(addr, Exchange::default()), pause);
+    answer.expect("the repeated call is answered");
+    listener.close().await;
+}
--- a/crates/sched/src/store_reader.rs
+++ b/crates/sched/src/store_reader.rs
@@ -15,6 +15,7 @@
 //! | it is the designated reader, or was asked lately | reads the store |
 //! | another host is the designated reader | asks that host |
 //! | that host does not respond | skips it for three seconds and asks the next one |
+//! | the same, but this host itself did not run meanwhile | asks that host once more |
 //! | that host can't reach the store itself | the same, and also reads once itself: the store may refuse that host only |
 //! | two hosts in a row can't be reached | may itself be cut off from them: reads the store itself for three seconds |
 //!
@@ -43,6 +44,8 @@
     Unreachable,
     /// It responded, but its data from the store is too old.
     Stale,
+    /// No response was heard, but the host that asked did not run meanwhile.
+    Unheard,
 }
 
 /// What one host knows of the others as readers of the store.
@@ -52,6 +55,8 @@
     cut_off: Option<Ms>,
     skipped: HashMap<HostId, Ms>,
     unreachable: u32,
+    /// The host whose response was not heard, if it was asked last.
+    unheard: Option<HostId>,
 }
 
 impl StoreReaders {
@@ -74,15 +79,21 @@
     /// Records that a host that was asked could help.
     pub fn helped(&mut self) {
         self.unreachable = 0;
+        self.unheard = None;
     }
 
     /// Records that a host that was asked, or this host itself, could not help.
     pub fn failed(&mut self, now: Ms, host: &HostId, fault: ReaderFault) {
+        let known = self.unheard.take();
+        if fault == ReaderFault::Unheard && known.as_ref() != Some(host) {
+            self.unheard = Some(host.clone());
+            return;
+        }
         self.skipped.retain(|_, until| *until > now);
         self.skipped.insert(host.clone(), now + SKIP_TIME);
         match fault {
             ReaderFault::Stale => self.unreachable = 0,
-            ReaderFault::Unreachable => self.unreachable += 1,
+            ReaderFault::Unreachable | ReaderFault::Unheard => self.unreachable += 1,
         }
         if self.unreachable >= MAX_UNREACHABLE {
             self.unreachable = 0;
--- a/crates/sched/tests/store_reader.rs
+++ b/crates/sched/tests/store_reader.rs
@@ -62,3 +62,19 @@
     assert!(sources.fits(Ms(100), &host("b")));
     assert!(sources.fits(Ms(3_000), &host("a")));
 }
+
+// Guards against hosts that give their reader up, and all read the store, because they did not run
+// while it answered. It is asked once more; if that isn't heard either, it counts as lost.
+#[test]
+fn a_reader_that_was_not_heard_in_a_pause_is_asked_once_more() {
+    let mut readers = StoreReaders::default();
+    readers.failed(Ms(0), &host("a"), ReaderFault::Unheard);
+    assert!(readers.fits(Ms(0), &host("a")));
+    readers.helped();
+    readers.failed(Ms(2_000), &host("a"), ReaderFault::Unheard);
+    assert!(readers.fits(Ms(2_000), &host("a")));
+    readers.failed(Ms(3_000), &host("a"), ReaderFault::Unheard);
+    assert!(!readers.fits(Ms(3_000), &host("a")));
+    readers.failed(Ms(4_000), &host("b"), ReaderFault::Unheard);
+    assert!(readers.fits(Ms(4_000), &host("b")));
+}
