Pieces are not made twice because their composer was paused

What was seen: nine pieces made where eight were asked for; beside load up to sixteen, and refusals 'its stages can't be done in time' with a free target and two seconds left. Cause: the batcher takes a call for overdue by the clock, and has its pieces made elsewhere; after a pause of the composer its tick runs before the answer is read. In the same way the call's own time-out drops the connection, the target looks slow, and late pieces seem to have no chance since none got into a call. Why the fix works: the batcher is told the lost time before any other event (Event::Paused) and moves its open calls and the window of late pieces by it; a stage call waits once more as long as the pause. Requests' own deadlines are not moved.

--- a/crates/edge/src/composer/mod.rs
+++ b/crates/edge/src/composer/mod.rs
@@ -27,7 +27,7 @@
 use crate::dialect::StageCall;
 use crate::gate::BlockReason;
 use crate::links::Link;
-use crate::send::{SendFault, send};
+use crate::send::{SendFault, Wait, send};
 
 /// Request id of calls that hosts make on their own account: they belong to no caller's request, so
 /// an answer is accepted whatever request it names, or if it names none.
@@ -46,6 +46,8 @@
     waiting: HashMap<PieceId, (Shared<Submission>, usize)>,
     /// Handles of freed results by target; the targets are yet to be notified.
     freed: HashMap<TargetId, Vec<String>>,
+    /// Time for which this host did not run, as far as the batcher knows.
+    paused: Ms,
 }
 
 struct Service {
@@ -141,7 +143,12 @@
         }
         let batch = self.batch_config(name)?;
         let batcher = Batcher::new(name.clone(), batch, allowance(&self.core.settings()));
-        let state = State { batcher, waiting: HashMap::new(), freed: HashMap::new() };
+        let state = State {
+            batcher,
+            waiting: HashMap::new(),
+            freed: HashMap::new(),
+            paused: self.core.pauses.lost(),
+        };
         let service =
             Arc::new(Service { name: name.clone(), state: Mutex::new(state), wake: Notify::new() });
         services.insert(name.clone(), service.clone());
@@ -215,6 +222,13 @@
         let mut effects = Vec::new();
         let mut state = lock(&service.state);
         let before = state.batcher.wake(now);
+        // Before any other event: the batcher would take calls whose answers are still unread for
+        // overdue, and have their pieces made twice.
+        let paused = self.core.pauses.lost();
+        let pause = paused - std::mem::replace(&mut state.paused, paused);
+        if pause > Ms::ZERO {
+            state.batcher.reduce(now, Event::Paused(pause), &mut effects);
+        }
         state.batcher.reduce(now, event, &mut effects);
         let sooner = match (before, state.batcher.wake(now)) {
             (Some(before), Some(after)) => after < before,
@@ -288,18 +302,19 @@
             let call = StageCall { target: link.name(), pieces, now: self.core.clock.now() };
             self.core.dialect.stage_call(&call)
         };
-        let answered = match send(&self.core, &link, NO_REQUEST_ID, timeout, build).await {
-            Ok(answered) => answered,
-            Err(SendFault::Blocked(BlockReason::Limited(rest) | BlockReason::Paused(rest))) => {
-                return CallEnd::Deferred(rest);
-            }
-            // Counts as a full target: an evacuated one is about to be removed from the list, and a
-            // cold one can take a call again in a moment.
-            Err(SendFault::Blocked(_)) => return CallEnd::Full,
-            Err(SendFault::NoConnection) => return CallEnd::NoConnection,
-            Err(SendFault::Silent) => return CallEnd::Silent,
-            Err(SendFault::Broken | SendFault::Mismatch) => return CallEnd::Broken,
-        };
+        let answered =
+            match send(&self.core, &link, NO_REQUEST_ID, Wait::Running(timeout), build).await {
+                Ok(answered) => answered,
+                Err(SendFault::Blocked(BlockReason::Limited(rest) | BlockReason::Paused(rest))) => {
+                    return CallEnd::Deferred(rest);
+                }
+                // Counts as a full target: an evacuated one is about to be removed from the list, and a
+                // cold one can take a call again in a moment.
+                Err(SendFault::Blocked(_)) => return CallEnd::Full,
+                Err(SendFault::NoConnection) => return CallEnd::NoConnection,
+                Err(SendFault::Silent) => return CallEnd::Silent,
+                Err(SendFault::Broken | SendFault::Mismatch) => return CallEnd::Broken,
+            };
         let read = link::read(answered.body, MAX_ANSWER_BYTES);
         let body = match tokio::time::timeout(timeout.duration(), read).await {
             Ok(Ok(body)) => body,
--- a/crates/edge/src/composer/release.rs
+++ b/crates/edge/src/composer/release.rs
@@ -9,7 +9,7 @@
 
 use super::{Composer, MAX_ANSWER_BYTES, NO_REQUEST_ID, Service, lock};
 use crate::results;
-use crate::send::send;
+use crate::send::{Wait, send};
 
 /// How long freed results are collected for one call: a call for each would cost the target more
 /// than having the room back a few milliseconds sooner is worth.
@@ -74,7 +74,8 @@
         if let Some(link) = link.filter(|l| !l.limit().is_active()) {
             let build = || self.core.dialect.stage_free(link.name(), &handles);
             // If the call fails, the target drops the results when their time to live ends.
-            if let Ok(answered) = send(&self.core, &link, NO_REQUEST_ID, FREE_TIMEOUT, build).await
+            if let Ok(answered) =
+                send(&self.core, &link, NO_REQUEST_ID, Wait::Fixed(FREE_TIMEOUT), build).await
             {
                 let read = link::read(answered.body, MAX_ANSWER_BYTES);
                 if let Ok(Ok(_)) = tokio::time::timeout(FREE_TIMEOUT.duration(), read).await {
--- a/crates/edge/src/plain.rs
+++ b/crates/edge/src/plain.rs
@@ -17,7 +17,7 @@
 use crate::links::Link;
 use crate::refusal::{Reason, give_up};
 use crate::request::Call;
-use crate::send::{Answered, SendFault, send};
+use crate::send::{Answered, SendFault, Wait, send};
 
 /// Largest response in bytes. A response is buffered completely, so that one that ends early is
 /// never passed on in part.
@@ -120,7 +120,7 @@
 async fn attempt(core: &Core, call: &Call, link: &Arc<Link>, timeout: Ms) -> Attempt {
     let started = core.clock.now();
     let build = || call.target_request(headers(core, call, link, &[], call.head.last_event, None));
-    let result = send(core, link, &call.head.id, timeout, build).await;
+    let result = send(core, link, &call.head.id, Wait::Fixed(timeout), build).await;
     let answered = match result {
         Ok(answered) => answered,
         Err(fault) => return attempt_failed(core, call, link, fault),
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -20,7 +20,7 @@
 use crate::refusal::{Reason, give_up};
 use crate::request::Call;
 use crate::results::Results;
-use crate::send::{Answered, Lease, SendFault, send};
+use crate::send::{Answered, Lease, SendFault, Wait, send};
 use crate::stages;
 
 /// Most engines that a request is sent to, including those that did not run it.
@@ -213,7 +213,7 @@
             self.results.free_after_read();
             call.target_request(headers(core, call, &link, inputs, last, fetch))
         };
-        let result = send(core, &link, &call.head.id, wait, build).await;
+        let result = send(core, &link, &call.head.id, Wait::Fixed(wait), build).await;
         self.sends += u32::from(!matches!(result, Err(SendFault::Blocked(_))));
         match result {
             Ok(answered) => self.handle_answer(link, now, was_idle, answered).await,
--- a/crates/edge/src/send.rs
+++ b/crates/edge/src/send.rs
@@ -96,13 +96,23 @@
     pub(crate) lease: Lease,
 }
 
-/// Sends a request and waits up to `wait` for the head of its answer. `build` is called once there
+/// How long to wait for the head of an answer.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Wait {
+    /// For this long, since a caller waits no longer.
+    Fixed(Ms),
+    /// For this long, not counting time for which this host did not run, up to twice as long. If the
+    /// answer arrived during a pause, it need not be computed again.
+    Running(Ms),
+}
+
+/// Sends a request and waits for the head of its answer. `build` is called once there
 /// is a connection, so that the remaining time that it writes into the request is right.
 pub(crate) async fn send(
     core: &Core,
     link: &Arc<Link>,
     id: &str,
-    wait: Ms,
+    wait: Wait,
     build: impl Fn() -> Request<Bytes>,
 ) -> Result<Answered, SendFault> {
     let result = attempt(core, link, id, wait, build).await;
@@ -119,11 +129,13 @@
     core: &Core,
     link: &Arc<Link>,
     id: &str,
-    wait: Ms,
+    wait: Wait,
     build: impl Fn() -> Request<Bytes>,
 ) -> Result<Answered, SendFault> {
     let open = link.begin();
-    let end = core.clock.now() + wait;
+    let (Wait::Fixed(most) | Wait::Running(most)) = wait;
+    let lost = core.pauses.lost();
+    let end = core.clock.now() + most;
     let mut conn = connect(link, ConnPolicy::Reuse).await?;
     gate::admit(core, link).map_err(SendFault::Blocked)?;
     let mut result = conn.send(build().map(full), end - core.clock.now()).await;
@@ -132,6 +144,11 @@
         gate::admit(core, link).map_err(SendFault::Blocked)?;
         result = conn.send(build().map(full), end - core.clock.now()).await;
     }
+    let paused = core.pauses.lost() - lost;
+    if let (Err(LinkError::Silent), Wait::Running(most), true) = (&result, wait, paused > Ms::ZERO)
+    {
+        result = conn.wait(paused.min(most)).await;
+    }
     let response = result.map_err(|err| match err {
         LinkError::Connect | LinkError::Unsent => SendFault::NoConnection,
         LinkError::Silent => SendFault::Silent,
--- a/crates/sched/src/batch/late.rs
+++ b/crates/sched/src/batch/late.rs
@@ -38,6 +38,13 @@
         self.taken.push_back((now, pieces));
     }
 
+    /// Takes out a time for which this host did not run: no call could take pieces meanwhile, which
+    /// says nothing of their chance.
+    pub(super) fn extend(&mut self, pause: Ms) {
+        self.since.iter_mut().for_each(|at| *at += pause);
+        self.taken.iter_mut().for_each(|(at, _)| *at += pause);
+    }
+
     /// Keys of the waiting requests that have no chance. They are passed in the order in which they
     /// would get into a call. `call` is the duration of a full call.
     pub(super) fn hopeless<K>(
--- a/crates/sched/src/batch/mod.rs
+++ b/crates/sched/src/batch/mod.rs
@@ -111,6 +111,10 @@
                 }
             }
             Event::Hosts(live) => self.budget.hosts(live),
+            Event::Paused(pause) => {
+                self.targets.values_mut().for_each(|t| t.extend_calls(pause));
+                self.late.extend(pause);
+            }
             Event::Tick => {}
         }
         self.overdue(now);
--- a/crates/sched/src/batch/target.rs
+++ b/crates/sched/src/batch/target.rs
@@ -167,6 +167,15 @@
         }
     }
 
+    /// Moves the expected ends of open calls by a time for which this host did not run: the answers
+    /// may have arrived meanwhile without being read.
+    pub(super) fn extend_calls(&mut self, pause: Ms) {
+        for open in &mut self.open {
+            open.since += pause;
+            open.expected += pause;
+        }
+    }
+
     /// Calls that have just become overdue.
     pub(super) fn overdue(&mut self, now: Ms) -> Vec<CallId> {
         let late = |o: &&mut OpenCall| !o.requeued && Self::overdue_at(o) <= now;
--- a/crates/sched/src/batch/types.rs
+++ b/crates/sched/src/batch/types.rs
@@ -120,6 +120,8 @@
     Freed(TargetId, String),
     /// This number of hosts is alive.
     Hosts(usize),
+    /// This host did not run for this time, which has just ended.
+    Paused(Ms),
     /// Time has passed; due at [`super::Batcher::wake`].
     Tick,
 }
