Split the state of an edge host: proofs, silence, back-off and stage calls in files of their own

Code moved, nothing changed; the tests of edge, sched and platform are the same. A dead link in shared.rs names the module that decides who reads, and a test's variable its type.

--- /dev/null
+++ b/crates/edge/src/composer/call.rs
@@ -0,0 +1,77 @@
+//! Sends one call to a stage target and reads its answer.
+
+use base::{Ms, TargetId};
+use logs::note;
+use sched::batch::{CallEnd, CallId, Event, Piece, PieceEnd};
+use std::sync::Arc;
+
+use super::{Composer, MAX_ANSWER_BYTES, NO_REQUEST_ID, Service, lock};
+use crate::dialect::StageCall;
+use crate::gate::BlockReason;
+use crate::send::{SendFault, Wait, send};
+
+impl Composer {
+    pub(super) fn call_ended(
+        self: &Arc<Self>,
+        service: &Arc<Service>,
+        call: CallId,
+        target: &TargetId,
+        end: CallEnd,
+    ) {
+        let (queued, kept) = {
+            let state = lock(&service.state);
+            (state.batcher.queued(), state.batcher.kept(self.core.clock.now(), target))
+        };
+        match &end {
+            CallEnd::Done(ends) => note!(
+                logs::Event::StageCallEnded,
+                service = %service.name,
+                target = %target,
+                pieces = ends.len(),
+                made = ends.iter().filter(|e| matches!(e, PieceEnd::Made(_))).count(),
+                no_room = ends.iter().filter(|e| **e == PieceEnd::Room).count(),
+                gone = ends.iter().filter(|e| **e == PieceEnd::Gone).count(),
+                queued,
+                kept
+            ),
+            end => note!(
+                logs::Event::StageCallFailed,
+                service = %service.name,
+                target = %target,
+                end = ?end
+            ),
+        }
+        self.feed(service, Event::Ended(call, end));
+    }
+
+    pub(super) async fn call(&self, target: &TargetId, pieces: &[Piece], timeout: Ms) -> CallEnd {
+        let Some(link) = self.core.links().named(target).cloned() else {
+            return CallEnd::NoConnection;
+        };
+        let build = || {
+            let call = StageCall { target: link.name(), pieces, now: self.core.clock.now() };
+            self.core.dialect.stage_call(&call)
+        };
+        let answered =
+            match send(&self.core, &link, NO_REQUEST_ID, Wait::Running(timeout), build).await {
+                Ok(answered) => answered,
+                Err(SendFault::Blocked(BlockReason::Limited(rest) | BlockReason::Paused(rest))) => {
+                    return CallEnd::Deferred(rest);
+                }
+                // Counts as a full target: an evacuated one is about to be removed from the list, and a
+                // cold one can take a call again in a moment.
+                Err(SendFault::Blocked(_)) => return CallEnd::Full,
+                Err(SendFault::NoConnection) => return CallEnd::NoConnection,
+                Err(SendFault::Silent) => return CallEnd::Silent,
+                Err(SendFault::Broken | SendFault::Mismatch) => return CallEnd::Broken,
+            };
+        let read = link::read(answered.body, MAX_ANSWER_BYTES);
+        let body = match tokio::time::timeout(timeout.duration(), read).await {
+            Ok(Ok(body)) => body,
+            Ok(Err(_)) => return CallEnd::Broken,
+            Err(_) => return CallEnd::Silent,
+        };
+        answered.lease.close();
+        self.core.dialect.parse_stage_response(answered.parts.status, &answered.head, &body)
+    }
+}
--- a/crates/edge/src/composer/mod.rs
+++ b/crates/edge/src/composer/mod.rs
@@ -4,6 +4,7 @@
 //! of their requests' stages, and it groups them into calls. This module keeps one [`Batcher`] for
 //! each service that this host composes, sends the calls it asks for and returns the results.
 
+mod call;
 mod offload;
 mod release;
 mod serve;
@@ -13,8 +14,7 @@
 
 use base::{Ms, PoolId, RegionId, TargetId};
 use catalog::Batch;
-use logs::note;
-use sched::batch::{Batcher, CallEnd, CallId, Effect, Event, Piece, PieceEnd, PieceId, TargetInfo};
+use sched::batch::{Batcher, Effect, Event, PieceId, TargetInfo};
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -24,10 +24,7 @@
 use self::release::READ_TIME;
 use self::submission::{Submission, Withdraw, piece_ended, piece_started, pieces};
 use crate::core::{Core, allowance};
-use crate::dialect::StageCall;
-use crate::gate::BlockReason;
 use crate::links::Link;
-use crate::send::{SendFault, Wait, send};
 
 /// Request id of calls that hosts make on their own account: they belong to no caller's request, so
 /// an answer is accepted whatever request it names, or if it names none.
@@ -261,70 +258,6 @@
         }
     }
 
-    fn call_ended(
-        self: &Arc<Self>,
-        service: &Arc<Service>,
-        call: CallId,
-        target: &TargetId,
-        end: CallEnd,
-    ) {
-        let (queued, kept) = {
-            let state = lock(&service.state);
-            (state.batcher.queued(), state.batcher.kept(self.core.clock.now(), target))
-        };
-        match &end {
-            CallEnd::Done(ends) => note!(
-                logs::Event::StageCallEnded,
-                service = %service.name,
-                target = %target,
-                pieces = ends.len(),
-                made = ends.iter().filter(|e| matches!(e, PieceEnd::Made(_))).count(),
-                no_room = ends.iter().filter(|e| **e == PieceEnd::Room).count(),
-                gone = ends.iter().filter(|e| **e == PieceEnd::Gone).count(),
-                queued,
-                kept
-            ),
-            end => note!(
-                logs::Event::StageCallFailed,
-                service = %service.name,
-                target = %target,
-                end = ?end
-            ),
-        }
-        self.feed(service, Event::Ended(call, end));
-    }
-
-    async fn call(&self, target: &TargetId, pieces: &[Piece], timeout: Ms) -> CallEnd {
-        let Some(link) = self.core.links().named(target).cloned() else {
-            return CallEnd::NoConnection;
-        };
-        let build = || {
-            let call = StageCall { target: link.name(), pieces, now: self.core.clock.now() };
-            self.core.dialect.stage_call(&call)
-        };
-        let answered =
-            match send(&self.core, &link, NO_REQUEST_ID, Wait::Running(timeout), build).await {
-                Ok(answered) => answered,
-                Err(SendFault::Blocked(BlockReason::Limited(rest) | BlockReason::Paused(rest))) => {
-                    return CallEnd::Deferred(rest);
-                }
-                // Counts as a full target: an evacuated one is about to be removed from the list, and a
-                // cold one can take a call again in a moment.
-                Err(SendFault::Blocked(_)) => return CallEnd::Full,
-                Err(SendFault::NoConnection) => return CallEnd::NoConnection,
-                Err(SendFault::Silent) => return CallEnd::Silent,
-                Err(SendFault::Broken | SendFault::Mismatch) => return CallEnd::Broken,
-            };
-        let read = link::read(answered.body, MAX_ANSWER_BYTES);
-        let body = match tokio::time::timeout(timeout.duration(), read).await {
-            Ok(Ok(body)) => body,
-            Ok(Err(_)) => return CallEnd::Broken,
-            Err(_) => return CallEnd::Silent,
-        };
-        answered.lease.close();
-        self.core.dialect.parse_stage_response(answered.parts.status, &answered.head, &body)
-    }
-
     /// The expected wait for a call of each service that runs stages, if this host composed it.
     fn loads(&self) -> StageLoads {
         let now = self.core.clock.now();
--- a/crates/edge/src/core.rs
+++ b/crates/edge/src/core.rs
@@ -1,9 +1,11 @@
 //! State shared by all parts of an edge host.
 
 mod known;
+mod proof;
+mod silence;
 
 use arc_swap::{ArcSwap, ArcSwapOption, Guard};
-use base::{Clock, Ms, PauseMeter, TargetId};
+use base::{Clock, Ms, PauseMeter};
 use catalog::{Catalog, Limits, Residency};
 use logs::note;
 use sched::budget::{Allowance, RetryBudget};
@@ -17,6 +19,7 @@
 use tokio::sync::watch;
 
 use self::known::StoreView;
+use self::silence::SilenceDetector;
 use crate::dialect::Dialect;
 use crate::directory::Declared;
 use crate::gate::Gate;
@@ -67,24 +70,6 @@
     draws: AtomicU64,
 }
 
-/// Connections of several targets that go silent within this time are taken to have a common cause.
-const SILENCE_WINDOW: Ms = Ms(3_000);
-
-/// Remembers the target whose connection went silent last, and when.
-#[derive(Default)]
-struct SilenceDetector {
-    last: Option<(Ms, TargetId)>,
-}
-
-impl SilenceDetector {
-    /// Records a silent connection. Returns whether another target's connection went silent shortly
-    /// before.
-    fn record(&mut self, now: Ms, target: &TargetId) -> bool {
-        let last = self.last.replace((now, target.clone()));
-        last.is_some_and(|(at, id)| id != *target && now - at <= SILENCE_WINDOW)
-    }
-}
-
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
@@ -268,17 +253,6 @@
         current && self.knows_evacuations() && !self.stopping() && self.links().ready() > 0
     }
 
-    /// Records that a read of the configuration failed.
-    pub(crate) fn record_failed_read(&self) {
-        self.read_failed.store(self.clock.now().0, Ordering::Relaxed);
-        self.notify_proof();
-    }
-
-    /// When a read of the configuration failed last; zero before the first failure.
-    pub(crate) fn read_failed(&self) -> Ms {
-        Ms(self.read_failed.load(Ordering::Relaxed))
-    }
-
     /// Up to this time stage results are kept until the engine's answer begins; after it, they are
     /// released soon after the send.
     pub(crate) fn keep_results_until(&self) -> Ms {
--- a/crates/edge/src/core/known.rs
+++ b/crates/edge/src/core/known.rs
@@ -2,45 +2,27 @@
 //! host is applied to it.
 
 use base::{Ms, TargetId};
-use catalog::{
-    ChangeLog, Delta, Entry, Freshness, Observation, Proof, Registry, RegistryEvent, Update,
-};
+use catalog::{ChangeLog, Delta, Entry, Freshness, Observation, Registry, RegistryEvent, Update};
 use logs::note;
 use sched::evacuation::{EvacuationEvent, Evacuations};
 use sched::warmup::LOST_HEARTBEATS;
 use std::sync::Arc;
-use tokio::sync::watch;
 
 use super::{Core, lock};
 use crate::directory::Declared;
 use crate::gate;
 
-/// Age at which a proof is overdue, in percent of the time within which a revoked key must stop
-/// working. A host that reaches the store has a younger proof: this is the time of two reads, one
-/// of them slow. The rest is left for asking another host.
-const OVERDUE_KEYS_PERCENT: u64 = 40;
-/// The same in percent of the time within which a change must be in force. The rest is left for the
-/// wait of one query, and a read.
-const OVERDUE_CHANGE_PERCENT: u64 = 50;
-/// The same in percent of the time within which an evacuated failure domain must get no new
-/// requests: the time of two lists and a slow answer.
-const OVERDUE_EVACUATION_PERCENT: u64 = 70;
-
-/// Time after a pause within which a host that reaches the store, or a host that reads it, has a
-/// new proof: a few round trips.
-const PROOF_TIME: Ms = Ms(200);
-
 /// What a host knows of the platform's store.
 pub(super) struct StoreView {
     registry: Registry,
-    freshness: Freshness,
+    pub(super) freshness: Freshness,
     /// Changes of the registry, for hosts that get them from this one.
     log: ChangeLog,
     /// Until when missing targets are kept, since their registrations may have lapsed in an outage
     /// of the store.
     lapse: Ms,
     /// Time for which this host had not run when the newest proof arrived.
-    paused: Ms,
+    pub(super) paused: Ms,
 }
 
 impl StoreView {
@@ -94,25 +76,6 @@
         self.declared.load().as_ref().map(|d| d.catalog.version)
     }
 
-    /// Records that a linearizable read, sent at `sent`, found nothing newer than what is held.
-    pub(crate) fn record_proof(&self, sent: Ms) {
-        let mut view = lock(&self.store);
-        view.freshness.prove(sent);
-        view.paused = self.pauses.lost();
-        drop(view);
-        self.notify_proof();
-    }
-
-    /// Notifies of the end of a read of the configuration.
-    pub(super) fn notify_proof(&self) {
-        self.proofs.send_replace(());
-    }
-
-    /// Notifies when a read of the configuration has proved that it is current, or has failed.
-    pub(crate) fn proofs(&self) -> watch::Receiver<()> {
-        self.proofs.subscribe()
-    }
-
     /// Applies what `learn` tells of evacuated failure domains.
     pub(crate) fn apply_evacuations(
         &self,
@@ -144,71 +107,6 @@
         !needed || self.gate.evacuations().known().is_some()
     }
 
-    /// Whether the newest proof is older than it can be while the store, or a host that reads it,
-    /// answers this host.
-    pub(crate) fn proof_overdue(&self) -> bool {
-        self.proof_overdue_at(self.clock.now())
-    }
-
-    /// Whether the newest proof is overdue at `at`.
-    pub(crate) fn proof_overdue_at(&self, at: Ms) -> bool {
-        let bounds = &self.settings().bounds;
-        let overdue = |proved: Option<Ms>, most| proved.is_none_or(|proved| at - proved > most);
-        let evacuation = bounds.evacuate_ms.is_some_and(|bound| {
-            let most = bound.scale(OVERDUE_EVACUATION_PERCENT, 100);
-            overdue(self.gate.evacuations().proved(), most)
-        });
-        let keys = bounds.revoke_ms.scale(OVERDUE_KEYS_PERCENT, 100);
-        let change = bounds.config_ms.scale(OVERDUE_CHANGE_PERCENT, 100);
-        evacuation || overdue(self.proved(), keys.min(change))
-    }
-
-    /// Whether the newest proof is overdue even without the time for which this host did not run. If
-    /// not, its own reads of the store are only late, and say nothing of the store.
-    pub(crate) fn store_silent(&self) -> bool {
-        let paused = self.pauses.lost() - lock(&self.store).paused;
-        self.proof_overdue_at(self.clock.now() - paused)
-    }
-
-    /// Whether the configuration needs no keys, or keys may be served now.
-    pub(crate) fn keys_usable(&self) -> bool {
-        let needed = self.catalog().is_some_and(|catalog| catalog.needs_keys());
-        !needed || self.proof() == Proof::Current
-    }
-
-    /// Whether keys may be served now.
-    pub(crate) fn proof(&self) -> Proof {
-        lock(&self.store).freshness.check(self.clock.now())
-    }
-
-    /// Waits until the proof satisfies `current`, if this host has just been paused.
-    ///
-    /// After a pause the proof is old, and the read that renews it is under way. A caller that is
-    /// refused at this moment could come back no sooner than that read is answered; a host that is
-    /// told the old proof would look for another reader. Returns at once if the host has run long
-    /// enough for a read.
-    pub(crate) async fn renewed_after_pause(&self, current: impl Fn(&Self) -> bool) {
-        let mut proofs = self.proofs();
-        while !current(self) {
-            let rest = self.pauses.ended() + PROOF_TIME - self.clock.now();
-            if rest == Ms::ZERO {
-                return;
-            }
-            // The sender lives in `self`; a time-out is noticed above.
-            let _ = tokio::time::timeout(rest.duration(), proofs.changed()).await;
-        }
-    }
-
-    /// When the last read was sent that proved the configuration; none before the first.
-    pub(crate) fn proved(&self) -> Option<Ms> {
-        lock(&self.store).freshness.proved()
-    }
-
-    /// Age of the last read that proved the configuration; none before the first.
-    pub(crate) fn proof_age(&self) -> Option<Ms> {
-        lock(&self.store).freshness.age(self.clock.now())
-    }
-
     /// The store's revision up to which the targets are known; none before the first list.
     pub(crate) fn revision(&self) -> Option<u64> {
         lock(&self.store).log.revision()
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -13,6 +13,7 @@
 //! ```
 
 mod accept;
+mod backoff;
 mod body;
 mod choose;
 mod composer;
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -1,7 +1,7 @@
 //! Passes data of the platform's store between hosts: the configuration, the targets, the evacuated
 //! failure domains, and the age of the proof that the configuration is the newest.
 //!
-//! A host that reads the store answers the queries of the others; see [`sched::source`].
+//! A host that reads the store answers the queries of the others; see [`sched::store_reader`].
 
 use base::{DomainId, Ms};
 use bytes::Bytes;
--- a/crates/sched/tests/store_reader.rs
+++ b/crates/sched/tests/store_reader.rs
@@ -12,11 +12,11 @@
 // asked reads for that reason alone.
 #[test]
 fn a_host_reads_while_it_is_asked() {
-    let mut sources = StoreReaders::default();
-    assert!(!sources.reads(Ms(0)));
-    sources.asked(Ms(1_000));
-    assert!(sources.reads(Ms(3_000)));
-    assert!(!sources.reads(Ms(6_000)));
+    let mut readers = StoreReaders::default();
+    assert!(!readers.reads(Ms(0)));
+    readers.asked(Ms(1_000));
+    assert!(readers.reads(Ms(3_000)));
+    assert!(!readers.reads(Ms(6_000)));
 }
 
 // Guards against hundreds of hosts calling a store that is down and has to come back under this
@@ -24,11 +24,11 @@
 // reach it.
 #[test]
 fn a_reader_without_the_store_makes_no_host_read_itself() {
-    let mut sources = StoreReaders::default();
+    let mut readers = StoreReaders::default();
     for i in 0..20 {
         let now = Ms(i * 1_000);
-        sources.failed(now, &host(&format!("host-{i}")), ReaderFault::Stale);
-        assert!(!sources.reads(now), "after {i} hosts with stale data");
+        readers.failed(now, &host(&format!("host-{i}")), ReaderFault::Stale);
+        assert!(!readers.reads(now), "after {i} hosts with stale data");
     }
 }
 
@@ -36,31 +36,31 @@
 // store. When two hosts in a row can't be reached, it reads the store itself for a while.
 #[test]
 fn a_host_that_reaches_no_other_reads_itself() {
-    let mut sources = StoreReaders::default();
-    sources.failed(Ms(0), &host("a"), ReaderFault::Unreachable);
-    assert!(!sources.reads(Ms(0)), "one may be lost");
-    sources.failed(Ms(400), &host("b"), ReaderFault::Unreachable);
-    assert!(sources.reads(Ms(400)));
-    assert!(!sources.reads(Ms(4_000)), "then it asks again");
+    let mut readers = StoreReaders::default();
+    readers.failed(Ms(0), &host("a"), ReaderFault::Unreachable);
+    assert!(!readers.reads(Ms(0)), "one may be lost");
+    readers.failed(Ms(400), &host("b"), ReaderFault::Unreachable);
+    assert!(readers.reads(Ms(400)));
+    assert!(!readers.reads(Ms(4_000)), "then it asks again");
 }
 
 #[test]
 fn losses_between_successful_responses_are_not_added_up() {
-    let mut sources = StoreReaders::default();
+    let mut readers = StoreReaders::default();
     for i in 0..10 {
-        sources.failed(Ms(i * 100), &host("a"), ReaderFault::Unreachable);
-        sources.helped();
+        readers.failed(Ms(i * 100), &host("a"), ReaderFault::Unreachable);
+        readers.helped();
     }
-    assert!(!sources.reads(Ms(1_000)));
+    assert!(!readers.reads(Ms(1_000)));
 }
 
 #[test]
 fn a_host_that_failed_is_skipped_for_a_while() {
-    let mut sources = StoreReaders::default();
-    sources.failed(Ms(0), &host("a"), ReaderFault::Unreachable);
-    assert!(!sources.fits(Ms(100), &host("a")));
-    assert!(sources.fits(Ms(100), &host("b")));
-    assert!(sources.fits(Ms(3_000), &host("a")));
+    let mut readers = StoreReaders::default();
+    readers.failed(Ms(0), &host("a"), ReaderFault::Unreachable);
+    assert!(!readers.fits(Ms(100), &host("a")));
+    assert!(readers.fits(Ms(100), &host("b")));
+    assert!(readers.fits(Ms(3_000), &host("a")));
 }
 
 // Guards against hosts that give their reader up, and all read the store, because they did not run
