Small pauses hold no refusal back and keep no reader in place

A host short of processor is late by some ms at each turn: added up, that kept a rejected reader in place for twice as long, and each refusal for want of a proof could wait 200 ms for a read that was not to come. Now only a pause of 200 ms or more counts for both, and for 200 ms after its end. small_pauses_are_no_reason_to_wait fails without.

--- a/crates/base/src/pause.rs
+++ b/crates/base/src/pause.rs
@@ -22,7 +22,7 @@
     clock: Arc<dyn Clock>,
     last: AtomicU64,
     lost: AtomicU64,
-    /// End of the last pause; 0 before the first.
+    /// End of the last pause that excuses; 0 before the first.
     ended: AtomicU64,
 }
 
@@ -46,7 +46,7 @@
         let pause = self.pause_at(now);
         self.last.store(now.0, Ordering::Relaxed);
         self.lost.fetch_add(pause.0, Ordering::Relaxed);
-        if pause > Ms::ZERO {
+        if pause >= EXCUSE {
             self.ended.store(now.0, Ordering::Relaxed);
         }
         (pause > Ms::ZERO).then_some(pause)
@@ -64,12 +64,13 @@
         self.lost() - before >= EXCUSE
     }
 
-    /// When the last pause ended; zero before the first.
+    /// When the last pause ended that was long enough to excuse; zero before the first. A host that
+    /// is short of processor has small pauses all the time, and must not wait after each.
     pub fn ended(&self) -> Ms {
         let now = self.clock.now();
-        match self.pause_at(now) {
-            Ms::ZERO => Ms(self.ended.load(Ordering::Relaxed)),
-            _ => now,
+        match self.pause_at(now) >= EXCUSE {
+            true => now,
+            false => Ms(self.ended.load(Ordering::Relaxed)),
         }
     }
 
--- a/crates/base/tests/pause.rs
+++ b/crates/base/tests/pause.rs
@@ -45,3 +45,19 @@
     assert_eq!(meter.lost(), before);
     assert_eq!(meter.ended(), clock.now());
 }
+
+// Guards against a host short of processor that holds each refusal back as if it had just been
+// paused: its turns are all a little late.
+#[test]
+fn small_pauses_are_no_reason_to_wait() {
+    let (clock, meter) = start();
+    clock.advance(TURN_INTERVAL + Ms(700));
+    meter.turn();
+    let ended = meter.ended();
+    for _ in 0..10 {
+        clock.advance(TURN_INTERVAL + Ms(60));
+        meter.turn();
+    }
+    assert_eq!(meter.ended(), ended);
+    assert_eq!(meter.lost(), Ms(1_300));
+}
--- a/crates/edge/src/core/known.rs
+++ b/crates/edge/src/core/known.rs
@@ -21,8 +21,6 @@
     /// Until when missing targets are kept, since their registrations may have lapsed in an outage
     /// of the store.
     lapse: Ms,
-    /// Time for which this host had not run when the newest proof arrived.
-    pub(super) paused: Ms,
 }
 
 impl StoreView {
@@ -34,7 +32,6 @@
             freshness: Freshness::new(revoke),
             log: ChangeLog::default(),
             lapse: Ms::ZERO,
-            paused: Ms::ZERO,
         }
     }
 
--- a/crates/edge/src/core/proof.rs
+++ b/crates/edge/src/core/proof.rs
@@ -26,10 +26,7 @@
 impl Core {
     /// Records that a linearizable read, sent at `sent`, found nothing newer than what is held.
     pub(crate) fn record_proof(&self, sent: Ms) {
-        let mut view = lock(&self.store);
-        view.freshness.prove(sent);
-        view.paused = self.pauses.lost();
-        drop(view);
+        lock(&self.store).freshness.prove(sent);
         self.notify_proof();
     }
 
@@ -62,11 +59,11 @@
         evacuation || overdue(self.proved(), keys.min(change))
     }
 
-    /// Whether the newest proof is overdue even without the time for which this host did not run. If
-    /// not, its own reads of the store are only late, and say nothing of the store.
+    /// Whether the newest proof is overdue although this host has run long enough for a read. If it
+    /// was just paused, its own reads are only late, and say nothing of the store.
     pub(crate) fn store_silent(&self) -> bool {
-        let paused = self.pauses.lost() - lock(&self.store).paused;
-        self.proof_overdue_at(self.clock.now() - paused)
+        let running = self.clock.now() - self.pauses.ended();
+        self.proof_overdue() && running >= PROOF_TIME
     }
 
     /// Whether the configuration needs no keys, or keys may be served now.
