Lines about targets say how the host learned of the change

Lines 305, 308 and 309 get the source and the revision up to which the host knows the targets. New line 514, StoreWentBack: a list is older than what the host holds. A counter that went back shows as 514; a reader that knows and doesn't tell shows as 309 with source=list at the revision that its followers already have, and no line there.

--- a/crates/edge/src/core.rs
+++ b/crates/edge/src/core.rs
@@ -18,6 +18,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use tokio::sync::watch;
 
+pub(crate) use self::known::Source;
 use self::known::StoreView;
 use self::silence::SilenceDetector;
 use crate::dialect::Dialect;
--- a/crates/edge/src/core/known.rs
+++ b/crates/edge/src/core/known.rs
@@ -12,6 +12,34 @@
 use crate::directory::Declared;
 use crate::gate;
 
+/// How a host learned of a change of targets. It is logged with the change.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Source {
+    /// A complete list from the store.
+    List,
+    /// A watch at the store.
+    Watch,
+    /// A host that reads the store told it.
+    Peer,
+    /// The target's own notice.
+    Notice,
+    /// The end of the time for which a missing target is kept.
+    Expiry,
+}
+
+impl Source {
+    /// The name in logs.
+    const fn name(self) -> &'static str {
+        match self {
+            Self::List => "list",
+            Self::Watch => "watch",
+            Self::Peer => "peer",
+            Self::Notice => "notice",
+            Self::Expiry => "expiry",
+        }
+    }
+}
+
 /// What a host knows of the platform's store.
 pub(super) struct StoreView {
     registry: Registry,
@@ -124,21 +152,26 @@
     /// Applies a list of all targets. `names` includes those of entries that can't be read.
     pub(crate) fn apply_target_list(
         &self,
+        source: Source,
         revision: u64,
         entries: Vec<Entry>,
         names: Vec<TargetId>,
     ) {
         let now = self.clock.now();
         let mut view = lock(&self.store);
+        let held = view.log.revision();
+        if held > Some(revision) {
+            note!(logs::Event::StoreWentBack, source = source.name(), revision, held);
+        }
         let updates = view.registry.diff(&entries, &names);
         view.log.append(revision, updates);
         let lapse = view.lapse(now);
         let events = view.registry.apply(now, Observation::List { entries, names, lapse });
-        self.handle_events(&mut view, events);
+        self.handle_events(&mut view, source, events);
     }
 
     /// Applies all changes of targets up to `revision`.
-    pub(crate) fn apply_target_updates(&self, revision: u64, updates: Vec<Update>) {
+    pub(crate) fn apply_target_updates(&self, source: Source, revision: u64, updates: Vec<Update>) {
         let now = self.clock.now();
         let mut view = lock(&self.store);
         view.log.append(revision, updates.clone());
@@ -147,7 +180,7 @@
         for update in updates {
             events.extend(view.registry.apply(now, Observation::update(update, lapse)));
         }
-        self.handle_events(&mut view, events);
+        self.handle_events(&mut view, source, events);
     }
 
     /// Changes of targets since `revision`.
@@ -164,25 +197,33 @@
     pub(crate) fn expire(&self) {
         let mut view = lock(&self.store);
         let events = view.registry.expire(self.clock.now());
-        self.handle_events(&mut view, events);
+        self.handle_events(&mut view, Source::Expiry, events);
     }
 
     /// Records that this incarnation of a target has announced that it is leaving.
     pub(crate) fn mark_leaving(&self, entry: &Entry) {
         let mut view = lock(&self.store);
         let events = view.registry.mark_leaving(self.clock.now(), &entry.id, entry.born);
-        self.handle_events(&mut view, events);
+        self.handle_events(&mut view, Source::Notice, events);
     }
 
-    fn handle_events(&self, view: &mut StoreView, events: Vec<RegistryEvent>) {
+    fn handle_events(&self, view: &mut StoreView, source: Source, events: Vec<RegistryEvent>) {
         if events.is_empty() {
             return;
         }
+        let revision = view.log.revision();
+        let source = source.name();
         for event in &events {
             match event {
-                RegistryEvent::Joined(id) => note!(logs::Event::TargetJoined, target = %id),
-                RegistryEvent::Draining(id) => note!(logs::Event::TargetLeaving, target = %id),
-                RegistryEvent::Gone(id) => note!(logs::Event::TargetGone, target = %id),
+                RegistryEvent::Joined(id) => {
+                    note!(logs::Event::TargetJoined, target = %id, source, revision);
+                }
+                RegistryEvent::Draining(id) => {
+                    note!(logs::Event::TargetLeaving, target = %id, source, revision);
+                }
+                RegistryEvent::Gone(id) => {
+                    note!(logs::Event::TargetGone, target = %id, source, revision);
+                }
                 RegistryEvent::Cold(id, rest) => {
                     note!(logs::Event::TargetCold, target = %id, rest_ms = rest.0);
                 }
--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -12,7 +12,7 @@
 use std::sync::Arc;
 
 use crate::backoff::Backoff;
-use crate::core::Core;
+use crate::core::{Core, Source};
 use crate::directory::{
     Change, Declared, Directory, DirectoryError, Kind, Record, RecordBody, Revision, Updates,
 };
@@ -127,7 +127,7 @@
         Change::Removed(id) => Update::Removed(id),
         Change::Set(record) => update(record),
     });
-    core.apply_target_updates(revision.0, updates.collect());
+    core.apply_target_updates(Source::Watch, revision.0, updates.collect());
     Ok(changed)
 }
 
@@ -208,7 +208,7 @@
                 Update::Set(entry) => Some(entry),
                 Update::Malformed(_) | Update::Removed(_) => None,
             });
-            core.apply_target_list(revision.0, entries.collect(), names);
+            core.apply_target_list(Source::List, revision.0, entries.collect(), names);
             list_at = core.clock.now() + LIST_INTERVAL;
             continue;
         };
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -13,7 +13,7 @@
 use thiserror::Error;
 use wire::{Evacuation, StoreNews, StoreQuery, TargetEntry, TargetUpdate};
 
-use crate::core::Core;
+use crate::core::{Core, Source};
 use crate::directory::{Declared, Directory, DirectoryError};
 
 /// Longest wait that a query may ask for.
@@ -207,11 +207,11 @@
                 Update::Set(entry) => Some(entry),
                 Update::Malformed(_) | Update::Removed(_) => None,
             });
-            core.apply_target_list(news.revision, entries.collect(), names);
+            core.apply_target_list(Source::Peer, news.revision, entries.collect(), names);
         }
         // Revision 0: the other host knows no targets yet.
         false if news.revision == 0 => {}
-        false => core.apply_target_updates(news.revision, updates),
+        false => core.apply_target_updates(Source::Peer, news.revision, updates),
     }
 }
 
