A target that left isn't used again because an older copy of the store lists it

Cause: the registry forgot what it removed. The copy lists the target as ready until its registration lapses, some seconds later.

Change: the registry remembers the last registration of removed targets for ten minutes. Not remembered are targets whose registration may have expired in an outage: they may be running.

Beside it, for the same reason: a reader that knew a target as leaving told its followers the older registration of the copy as a change, at each list. What is told is now the newer of the two (test an_older_registration_is_no_change).

--- a/crates/catalog/src/registry.rs
+++ b/crates/catalog/src/registry.rs
@@ -9,10 +9,13 @@
 //! | the target's own notice in a response that it is leaving | no new work for the rest of that incarnation, whatever its registration says |
 //! | a registration that is cold for longer than the previous one | the target has become cold again |
 //! | a registration of an earlier incarnation, or an older one of the same incarnation | ignored |
+//! | the last registration of a removed target, or an older one, shortly after the store has come back from an older copy | ignored |
 //! | a removal without a recent outage of the store | the target is removed at once |
 //! | a registration missing or removed shortly after an outage of the store | the target is kept until [`LAPSE_GRACE`] after the store's return, then removed |
 //!
-//! The last rule covers an outage in which the leases of all registrations expire. Without it, a
+//! The last rule but one covers a copy that is older than the removal: it lists the target until
+//! its registration lapses, and the target would get requests that it no longer serves. The last
+//! rule covers an outage in which the leases of all registrations expire. Without it, a
 //! host would have no target left although all of them are running.
 
 use base::{Ms, TargetId};
@@ -26,9 +29,9 @@
 /// the list. A removal after that time counts as the target's own, whatever caused it.
 pub const LAPSE_GRACE: Ms = Ms(2_400);
 
-/// How long a target's notice that it is leaving is remembered after its registration disappeared,
-/// ms: a registration that disappeared in an outage of the store may come back.
-const NOTICE_RETENTION: Ms = Ms::secs(600);
+/// How long a target's notice that it is leaving, or its removal, is remembered after its
+/// registration disappeared, ms: the registration may come back after an outage of the store.
+const REMOVED_RETENTION: Ms = Ms::secs(600);
 
 /// A known target.
 #[derive(Clone, Debug, PartialEq)]
@@ -87,6 +90,22 @@
     Gone(TargetId),
 }
 
+/// The last registration of a target that was removed.
+#[derive(Debug)]
+struct Removed {
+    born: u64,
+    seq: u64,
+    /// When it was removed.
+    at: Ms,
+}
+
+impl Removed {
+    /// Whether a registration was written before the removal.
+    fn covers(&self, entry: &Entry) -> bool {
+        (entry.born, entry.seq) <= (self.born, self.seq)
+    }
+}
+
 /// The known targets.
 #[derive(Debug, Default)]
 pub struct Registry {
@@ -95,6 +114,10 @@
     lapsed: HashMap<TargetId, Ms>,
     /// Incarnations (by start time) of targets that gave notice that they are leaving, and when.
     leaving: HashMap<TargetId, (u64, Ms)>,
+    /// Targets that were removed, but for those whose registration may have expired in an outage.
+    removed: HashMap<TargetId, Removed>,
+    /// Until when the store may list removed targets, since it came back from an older copy.
+    restored: Ms,
 }
 
 impl Registry {
@@ -112,13 +135,13 @@
                 for id in known {
                     match names.contains(&id) {
                         true if readable.contains(&id) => {}
-                        true => self.remove(&id, &mut out),
+                        true => self.remove(now, &id, &mut out),
                         false => self.handle_missing(now, &id, lapse, &mut out),
                     }
                 }
             }
             Observation::Entry(entry) => self.register(entry, &mut out),
-            Observation::Malformed(id) => self.remove(&id, &mut out),
+            Observation::Malformed(id) => self.remove(now, &id, &mut out),
             Observation::Removed { id, lapse } => self.handle_missing(now, &id, lapse, &mut out),
         }
         out
@@ -142,6 +165,24 @@
         entry.state == TargetState::Ready && !leaving
     }
 
+    /// Records that the store has come back from an older copy. Up to `until`, removed targets may
+    /// be listed again; by then the registration of one that has ended has lapsed, so one that is
+    /// still listed is alive.
+    pub fn restored(&mut self, until: Ms) {
+        self.restored = self.restored.max(until);
+    }
+
+    /// The registration of a target to go by, of this one that was read and the one that is known;
+    /// none if its target was removed after it was written.
+    pub fn newer(&self, now: Ms, read: Entry) -> Option<Entry> {
+        let removed = || self.removed.get(&read.id).filter(|_| now < self.restored);
+        match self.targets.get(&read.id).map(|t| &t.entry) {
+            Some(known) if (read.born, read.seq) < (known.born, known.seq) => Some(known.clone()),
+            None if removed().is_some_and(|r| r.covers(&read)) => None,
+            _ => Some(read),
+        }
+    }
+
     /// Removes targets whose registration expired in an outage and did not come back. To be called
     /// regularly.
     pub fn expire(&mut self, now: Ms) -> Vec<RegistryEvent> {
@@ -149,10 +190,12 @@
             self.lapsed.iter().filter(|(_, at)| **at <= now).map(|(id, _)| id.clone()).collect();
         let mut out = Vec::new();
         for id in due {
-            self.remove(&id, &mut out);
+            self.drop_target(&id, &mut out);
         }
         let targets = &self.targets;
-        self.leaving.retain(|id, (_, at)| targets.contains_key(id) || now - *at < NOTICE_RETENTION);
+        let recent = |at: Ms| now - at < REMOVED_RETENTION;
+        self.leaving.retain(|id, (_, at)| targets.contains_key(id) || recent(*at));
+        self.removed.retain(|_, removed| recent(removed.at));
         out
     }
 
@@ -212,6 +255,7 @@
             _ => out.push(RegistryEvent::Joined(id.clone())),
         }
         self.lapsed.remove(&id);
+        self.removed.remove(&id);
         self.targets.insert(id, Arc::new(Target { entry }));
     }
 
@@ -226,14 +270,21 @@
             Some(until) if until > now && self.targets.contains_key(id) => {
                 self.lapsed.entry(id.clone()).or_insert(until);
             }
-            _ => self.remove(id, out),
+            _ => self.remove(now, id, out),
         }
     }
 
-    fn remove(&mut self, id: &TargetId, out: &mut Vec<RegistryEvent>) {
-        self.lapsed.remove(id);
-        if self.targets.remove(id).is_some() {
-            out.push(RegistryEvent::Gone(id.clone()));
+    fn remove(&mut self, now: Ms, id: &TargetId, out: &mut Vec<RegistryEvent>) {
+        if let Some(target) = self.drop_target(id, out) {
+            let Entry { born, seq, .. } = target.entry;
+            self.removed.insert(id.clone(), Removed { born, seq, at: now });
         }
     }
+
+    fn drop_target(&mut self, id: &TargetId, out: &mut Vec<RegistryEvent>) -> Option<Arc<Target>> {
+        self.lapsed.remove(id);
+        let target = self.targets.remove(id)?;
+        out.push(RegistryEvent::Gone(id.clone()));
+        Some(target)
+    }
 }
--- a/crates/catalog/tests/registry.rs
+++ b/crates/catalog/tests/registry.rs
@@ -157,3 +157,63 @@
     registry.expire(Ms(601_000));
     assert!(registry.takes_work(&ready("a")));
 }
+
+/// The last registration of a target that was removed before the store came back from a copy in
+/// which it still is, and the registry that knows this.
+fn removed_before_a_return() -> (Registry, Entry) {
+    let mut registry = Registry::default();
+    let last = entry("a", TargetState::Ready, 5, 1);
+    registry.apply(Ms(0), list(vec![last.clone(), ready("b")], None));
+    registry.apply(Ms(10), Observation::Removed { id: "a".into(), lapse: None });
+    registry.restored(Ms(1_000));
+    (registry, last)
+}
+
+// Guards against requests to a target that has left, because the copy from which the store came
+// back still lists it.
+#[test]
+fn a_registration_from_before_the_removal_is_ignored_after_a_return() {
+    let (registry, last) = removed_before_a_return();
+    assert_eq!(registry.newer(Ms(20), last), None);
+    assert_eq!(registry.newer(Ms(20), entry("a", TargetState::Ready, 3, 1)), None);
+    assert_eq!(registry.newer(Ms(20), ready("b")), Some(ready("b")));
+}
+
+// Guards against a running target that gets no requests because it was once missing: what it has
+// written since, what another incarnation writes, and what is still listed when a registration of
+// an ended target would have lapsed, counts.
+#[test]
+fn a_removed_target_that_is_alive_is_used_again_after_a_return() {
+    let (mut registry, last) = removed_before_a_return();
+    let (later, next) =
+        (entry("a", TargetState::Ready, 6, 1), entry("a", TargetState::Ready, 1, 2));
+    assert_eq!(registry.newer(Ms(20), later.clone()), Some(later.clone()));
+    assert_eq!(registry.newer(Ms(20), next.clone()), Some(next));
+    assert_eq!(registry.newer(Ms(1_000), last.clone()), Some(last.clone()));
+    registry.apply(Ms(30), Observation::Entry(later.clone()));
+    assert_eq!(registry.newer(Ms(40), last), Some(later), "the newer one is known");
+}
+
+// Guards against a target that is kept out for good although it runs: its registration expired in
+// an outage, and the copy from which the store comes back has it.
+#[test]
+fn a_registration_that_expired_in_an_outage_counts_after_a_return() {
+    let mut registry = Registry::default();
+    registry.apply(Ms(0), list(vec![ready("a")], None));
+    registry.apply(Ms(10), list(Vec::new(), Some(Ms(100))));
+    registry.expire(Ms(100));
+    registry.restored(Ms(1_000));
+    assert_eq!(registry.newer(Ms(200), ready("a")), Some(ready("a")));
+}
+
+// Guards against followers that take a leaving target for ready: the store came back from a copy in
+// which it was, and the reader told them its older registration.
+#[test]
+fn an_older_registration_is_no_change() {
+    let mut registry = Registry::default();
+    let draining = entry("a", TargetState::Draining, 2, 1);
+    registry.apply(Ms(0), list(vec![draining.clone()], None));
+    let read = registry.newer(Ms(10), ready("a")).unwrap();
+    assert_eq!(read, draining);
+    assert_eq!(registry.diff(&[read], &["a".into()]), []);
+}
--- a/crates/edge/src/core/eras.rs
+++ b/crates/edge/src/core/eras.rs
@@ -11,13 +11,16 @@
     /// Returns whether it is the newest known; what an older one tells is out of date.
     ///
     /// A rise means that the store has come back from an older copy. Registrations made since the
-    /// copy are missing until their targets renew them, as after an outage.
+    /// copy are missing until their targets renew them, as after an outage; registrations removed
+    /// since are listed again until they lapse.
     pub(crate) fn note_era(&self, era: u64) -> bool {
         let mut view = lock(&self.store);
         match view.era {
             Some(before) if era <= before => return era == before,
             Some(before) => {
-                view.lapse = view.lapse.max(self.clock.now() + LAPSE_GRACE);
+                let now = self.clock.now();
+                view.lapse = view.lapse.max(now + LAPSE_GRACE);
+                view.registry.restored(now + self.rejoin_time());
                 let held = view.log.position().unwrap_or_default();
                 note!(logs::Event::StoreRestored, era, before, held = %held);
                 self.metrics.store_restored();
--- a/crates/edge/src/core/known.rs
+++ b/crates/edge/src/core/known.rs
@@ -44,7 +44,7 @@
 
 /// What a host knows of the platform's store.
 pub(super) struct StoreView {
-    registry: Registry,
+    pub(super) registry: Registry,
     pub(super) freshness: Freshness,
     /// Changes of the registry, for hosts that get them from this one.
     pub(super) log: ChangeLog,
@@ -164,6 +164,8 @@
     ) {
         let now = self.clock.now();
         let mut view = lock(&self.store);
+        let entries: Vec<Entry> =
+            entries.into_iter().filter_map(|read| view.registry.newer(now, read)).collect();
         let updates = view.registry.diff(&entries, &names);
         view.log.append(position, updates);
         let lapse = view.lapse(now);
@@ -180,6 +182,13 @@
     ) {
         let now = self.clock.now();
         let mut view = lock(&self.store);
+        let updates: Vec<Update> = updates
+            .into_iter()
+            .filter_map(|update| match update {
+                Update::Set(read) => view.registry.newer(now, read).map(Update::Set),
+                Update::Malformed(_) | Update::Removed(_) => Some(update),
+            })
+            .collect();
         view.log.append(position, updates.clone());
         let lapse = view.lapse(now);
         let mut events = Vec::new();
@@ -248,11 +257,17 @@
         }
     }
 
+    /// Time after a target was lost, or its registration, within which it has registered again if it
+    /// is running. The registration of one that isn't has lapsed by then.
+    pub(super) fn rejoin_time(&self) -> Ms {
+        self.settings().bounds.heartbeat_ms.scale(LOST_HEARTBEATS, 1)
+    }
+
     /// Rebuilds the links from the targets and evacuations that are known.
     fn renew_links(&self, view: &StoreView) {
         let targets = view.registry.targets();
         let evacuated = self.gate.evacuations().domains().clone();
-        let rejoin_time = self.settings().bounds.heartbeat_ms.scale(LOST_HEARTBEATS, 1);
+        let rejoin_time = self.rejoin_time();
         let works = |entry: &Entry| view.registry.takes_work(entry);
         let next =
             self.links.load().renew(self.clock.now(), targets, works, evacuated, rejoin_time);
