Evacuations are ordered by era and revision, and outlive a store that has lost them

Cause: a list at a lower revision was ignored, also as a proof, until the counter had caught up: minutes at a store with few changes. Nothing told an evacuation that was lifted from one that was lost.

Change: lists are ordered by position, an era before a revision. The first list of an era is taken; evacuated domains that it lacks are kept for ten seconds, or until they are listed again. Between hosts the position is packed like that of the targets.

In older tests only the type of a revision changed.

--- a/crates/edge/src/evacuate.rs
+++ b/crates/edge/src/evacuate.rs
@@ -62,7 +62,7 @@
     let sent = core.clock.now();
     let (records, position) = list(core, directory, Kind::Evacuations).await?;
     let domains = records.into_iter().filter_map(domain).collect();
-    core.apply_evacuations(|held| held.list(sent, position.revision, domains));
+    core.apply_evacuations(|held| held.list(sent, position, domains));
     Ok(())
 }
 
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -86,7 +86,7 @@
         let news = news(core, &query, arrived);
         let rest = end - core.clock.now();
         let fresh = query.urgent && is_fresh(core);
-        let newer = core.gate.evacuations().changed() > Some(query.evacuation);
+        let newer = core.gate.evacuations().changed() > Position::unpack(query.evacuation);
         let changed = newer || !news.catalog.is_empty() || !news.updates.is_empty();
         // The host that asks urgently is told at once, and asks another.
         let failed = query.urgent && core.read_failed() >= arrived;
@@ -142,7 +142,7 @@
     let proved = evacuations.proved()?;
     let domains = evacuations.domains().iter().map(|d| d.as_str().to_owned());
     Some(Evacuation {
-        revision: evacuations.known()?,
+        revision: evacuations.known()?.pack(),
         domains: domains.collect(),
         proof_ms: age(arrived, proved),
     })
@@ -190,10 +190,12 @@
         core.keep_missing_until(core.clock.now() + Ms(news.lapse_ms));
     }
     // Evacuations come before the targets, so that no target of an evacuated domain gets a request.
-    if let Some(told) = &news.evacuation {
+    let evacuation = news.evacuation.as_ref();
+    let evacuation = evacuation.and_then(|e| Some((Position::unpack(e.revision)?, e)));
+    if let Some((read_at, told)) = evacuation {
         let domains = told.domains.iter().map(|d| DomainId::from(d.as_str())).collect();
         let at = read_sent_at(core, sent, told.proof_ms);
-        core.apply_evacuations(|held| held.list(at, told.revision, domains));
+        core.apply_evacuations(|held| held.list(at, read_at, domains));
     }
     if let Some(position) = position {
         apply_targets(core, position, &news);
--- a/crates/edge/src/source.rs
+++ b/crates/edge/src/source.rs
@@ -124,7 +124,7 @@
         revision: core.position().map_or(0, Position::pack),
         wait_ms: query_wait(core).0,
         urgent: core.proof_overdue(),
-        evacuation: core.gate.evacuations().known().unwrap_or_default(),
+        evacuation: core.gate.evacuations().known().map_or(0, Position::pack),
     };
     let sent = core.clock.now();
     let paused = core.pauses.lost();
--- a/crates/sched/src/evacuation.rs
+++ b/crates/sched/src/evacuation.rs
@@ -6,15 +6,24 @@
 //!
 //! | what a host receives | what it does |
 //! |---|---|
-//! | the whole list from the store, at a revision not older than the one it holds | takes it |
+//! | the whole list from the store, at a position not older than the one it holds | takes it |
 //! | the same from another host | takes it |
-//! | either of them at an older revision | ignores it, also as a proof |
+//! | either of them at an older position | ignores it, also as a proof |
+//! | the first list since the store came back from an older copy | takes it, and keeps evacuated domains that it lacks for [`KEEP_TIME`] or until they have been listed again |
+//!
+//! The copy may be older than an evacuation that was acknowledged. Without the last rule, the
+//! domain's targets would get requests until the operator has ordered it again.
 //!
 //! A list is a proof as of the time when the read was *sent*: a domain may have been evacuated
 //! right after the store was read.
 
 use base::{DomainId, Ms};
-use std::collections::BTreeSet;
+use catalog::Position;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Time for which an evacuation is kept that the store has lost, ms. Operators order it again within
+/// seconds; one that was lifted meanwhile leaves its domain empty for so much longer.
+pub const KEEP_TIME: Ms = Ms::secs(10);
 
 /// A change of one failure domain.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -29,40 +38,49 @@
 #[derive(Clone, Debug, Default)]
 pub struct Evacuations {
     domains: BTreeSet<DomainId>,
-    /// Revision of the store up to which they are known; none before the first list.
-    known: Option<u64>,
-    /// Revision at which they last changed.
-    changed: u64,
+    /// Domains among them that the store has lost, and until when they are kept.
+    kept: BTreeMap<DomainId, Ms>,
+    /// Position of the store up to which they are known; none before the first list.
+    known: Option<Position>,
+    /// Position at which they last changed.
+    changed: Position,
     proved: Option<Ms>,
 }
 
 impl Evacuations {
-    /// Takes the whole list, read at `revision` by a call that was sent at `sent`, either by this
+    /// Takes the whole list, read at `position` by a call that was sent at `sent`, either by this
     /// host or by another one that passes it on.
     ///
-    /// Which of two lists is older is decided by the revision at which they were read, not by the
+    /// Which of two lists is older is decided by the position at which they were read, not by the
     /// one at which they last changed: an evacuation that is ordered and lifted between two reads
     /// leaves no trace in the list.
     pub fn list(
         &mut self,
         sent: Ms,
-        revision: u64,
+        position: impl Into<Position>,
         domains: BTreeSet<DomainId>,
     ) -> Vec<EvacuationEvent> {
-        if self.known.is_some_and(|known| revision < known) {
+        let position = position.into();
+        if self.known.is_some_and(|known| position < known) {
             return Vec::new();
         }
-        self.known = Some(revision);
+        if self.known.is_some_and(|known| known.era < position.era) {
+            let until = sent + KEEP_TIME;
+            self.kept.extend(self.domains.iter().map(|domain| (domain.clone(), until)));
+        }
+        self.kept.retain(|domain, until| *until > sent && !domains.contains(domain));
+        self.known = Some(position);
         self.proved = self.proved.max(Some(sent));
-        self.replace(revision, domains)
+        let kept = self.kept.keys().cloned().collect();
+        self.replace(position, &domains | &kept)
     }
 
-    fn replace(&mut self, revision: u64, domains: BTreeSet<DomainId>) -> Vec<EvacuationEvent> {
+    fn replace(&mut self, position: Position, domains: BTreeSet<DomainId>) -> Vec<EvacuationEvent> {
         let begun = domains.difference(&self.domains).cloned().map(EvacuationEvent::Begun);
         let ended = self.domains.difference(&domains).cloned().map(EvacuationEvent::Ended);
         let events: Vec<EvacuationEvent> = begun.chain(ended).collect();
-        if !events.is_empty() || self.changed == 0 {
-            self.changed = revision;
+        if !events.is_empty() || self.changed == Position::default() {
+            self.changed = position;
         }
         self.domains = domains;
         events
@@ -73,13 +91,13 @@
         &self.domains
     }
 
-    /// Revision of the store up to which they are known; none before the first list.
-    pub fn known(&self) -> Option<u64> {
+    /// Position of the store up to which they are known; none before the first list.
+    pub fn known(&self) -> Option<Position> {
         self.known
     }
 
-    /// Revision of the store at which they last changed; none before the first list.
-    pub fn changed(&self) -> Option<u64> {
+    /// Position of the store at which they last changed; none before the first list.
+    pub fn changed(&self) -> Option<Position> {
         self.known.map(|_| self.changed)
     }
 
--- a/crates/sched/tests/evacuation.rs
+++ b/crates/sched/tests/evacuation.rs
@@ -1,7 +1,8 @@
 //! Updates of the evacuated failure domains from the store and from other hosts.
 
 use base::{DomainId, Ms};
-use sched::evacuation::{EvacuationEvent, Evacuations};
+use catalog::Position;
+use sched::evacuation::{EvacuationEvent, Evacuations, KEEP_TIME};
 use std::collections::BTreeSet;
 
 fn domains(names: &[&str]) -> BTreeSet<DomainId> {
@@ -63,6 +64,43 @@
     let mut known = Evacuations::default();
     known.list(Ms(1), 10, domains(&["a"]));
     known.list(Ms(900), 400, domains(&["a"]));
-    assert_eq!((known.changed(), known.known()), (Some(10), Some(400)));
+    assert_eq!((known.changed(), known.known()), (Some(10.into()), Some(400.into())));
     assert_eq!(known.proved(), Some(Ms(900)));
 }
+
+/// Guards against a host that can't renew its proof, and refuses requests, until the revisions of a
+/// store that came back from an older copy have caught up with those that it knows.
+#[test]
+fn a_list_of_a_newer_era_is_taken_at_a_lower_revision() {
+    let mut known = Evacuations::default();
+    known.list(Ms(1), Position::new(1, 90), domains(&[]));
+    assert_eq!(known.list(Ms(2), Position::new(2, 40), domains(&["a"])), [begun("a")]);
+    assert_eq!(known.proved(), Some(Ms(2)));
+    assert_eq!(known.list(Ms(3), Position::new(1, 95), domains(&[])), []);
+    assert_eq!((known.proved(), known.known()), (Some(Ms(2)), Some(Position::new(2, 40))));
+}
+
+/// Guards against requests to an evacuated domain between the store's return from a copy that is
+/// older than the evacuation and the moment at which the operator has ordered it again.
+#[test]
+fn an_evacuation_that_the_store_has_lost_is_kept_until_it_is_ordered_again() {
+    let mut known = Evacuations::default();
+    known.list(Ms(1), Position::new(1, 90), domains(&["a"]));
+    assert_eq!(known.list(Ms(100), Position::new(2, 40), domains(&[])), []);
+    assert_eq!(known.list(Ms(2_000), Position::new(2, 41), domains(&["b"])), [begun("b")]);
+    assert_eq!(*known.domains(), domains(&["a", "b"]));
+    assert_eq!(known.list(Ms(3_000), Position::new(2, 45), domains(&["a", "b"])), []);
+    assert_eq!(known.list(Ms(4_000), Position::new(2, 46), domains(&["b"])), [ended("a")]);
+}
+
+/// Guards against a domain that stays empty for good because its evacuation was lifted while the
+/// store was away.
+#[test]
+fn an_evacuation_that_the_store_has_lost_ends_after_a_while() {
+    let mut known = Evacuations::default();
+    known.list(Ms(1), Position::new(1, 90), domains(&["a"]));
+    known.list(Ms(100), Position::new(2, 40), domains(&[]));
+    let end = Ms(100) + KEEP_TIME;
+    assert_eq!(known.list(end - Ms(1), Position::new(2, 41), domains(&[])), []);
+    assert_eq!(known.list(end, Position::new(2, 41), domains(&[])), [ended("a")]);
+}
--- a/crates/sched/tests/evacuation_schedules.rs
+++ b/crates/sched/tests/evacuation_schedules.rs
@@ -2,6 +2,7 @@
 //! lost responses, hosts that restart and hosts that were cut off.
 
 use base::{DomainId, Ms};
+use catalog::Position;
 use rand::seq::IndexedRandom;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -16,7 +17,7 @@
 struct Answer {
     /// When the call that proves it was sent, by the clock of the host that receives it.
     sent: Ms,
-    revision: u64,
+    position: Position,
     domains: BTreeSet<DomainId>,
 }
 
@@ -77,17 +78,17 @@
     fn list(&mut self, host: usize) {
         let delay = Ms(self.rng.random_range(0..30));
         let sent = self.now - delay;
-        let list = Answer { sent, revision: self.revision, domains: self.current() };
+        let list = Answer { sent, position: self.revision.into(), domains: self.current() };
         self.in_flight.push((host, list));
     }
 
     fn ask(&mut self, host: usize) {
         let other = self.rng.random_range(0..HOSTS);
         let known = &self.hosts[other];
-        let (Some(proved), Some(revision)) = (known.proved(), known.known()) else { return };
+        let (Some(proved), Some(position)) = (known.proved(), known.known()) else { return };
         // Delays on the way make a proof older, never newer.
         let sent = proved - Ms(self.rng.random_range(0..20));
-        let answer = Answer { sent, revision, domains: known.domains().clone() };
+        let answer = Answer { sent, position, domains: known.domains().clone() };
         self.in_flight.push((host, answer));
     }
 
@@ -100,7 +101,7 @@
 
     fn deliver(&mut self) {
         let Some((host, answer)) = self.take_answer() else { return };
-        self.hosts[host].list(answer.sent, answer.revision, answer.domains);
+        self.hosts[host].list(answer.sent, answer.position, answer.domains);
     }
 
     /// Checks that what each host holds was true at some time since its proof was sent.
--- a/crates/wire/src/gen/siskinwheel.v1.rs
+++ b/crates/wire/src/gen/siskinwheel.v1.rs
@@ -902,7 +902,7 @@
     /// The requesting host's proof is old: the answer waits only for a newer proof.
     #[prost(bool, tag = "4")]
     pub urgent: bool,
-    /// Store revision up to which it knows the evacuated domains; 0 for none.
+    /// Position of the store up to which it knows the evacuated domains; 0 for none.
     #[prost(uint64, tag = "5")]
     pub evacuation: u64,
 }
@@ -946,7 +946,7 @@
 #[serde(default)]
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Evacuation {
-    /// Store revision up to which they are known.
+    /// Position of the store up to which they are known.
     #[prost(uint64, tag = "1")]
     pub revision: u64,
     #[prost(string, repeated, tag = "2")]
