Followers are told what a list corrects at a revision that they already have

What callers would see: requests to a target that has left, from hosts that follow a reader which has dropped it.

Cause: what a list shows beyond the watches was logged at the newest revision, and followers are told what is newer than theirs; one that is at the newest itself is told nothing. Eras mend it where the store came back older; it remains where a watch has missed a change (the store may forget its history while a watch is mute) and the list has the same revision.

Change: a position counts the corrections at its revision; each list that adds something without a newer revision makes a new one. It travels in spare bits of the number that hosts exchange.

Measured: followers_at_the_newest_revision_are_told_what_a_list_corrects failed before (Updates([]) where the removal is due). The test of an older list checks the revision of a position, as before.

--- a/crates/catalog/src/log.rs
+++ b/crates/catalog/src/log.rs
@@ -66,10 +66,13 @@
             *self = Self::default();
         }
         self.floor.get_or_insert(position);
-        self.newest = self.newest.max(position);
-        // A list may have an older revision than what a watch has already delivered. What the list
-        // adds gets the newest revision, because followers are past the list's own revision and
-        // would never be sent it.
+        // A list may have no newer revision than what watches have already delivered, and yet show
+        // what they have missed. Followers are past its revision and would never be sent what it
+        // adds, so it gets a position after the newest.
+        self.newest = match position > self.newest || updates.is_empty() {
+            true => self.newest.max(position),
+            false => self.newest.corrected(),
+        };
         let at = self.newest;
         self.changes.extend(updates.into_iter().map(|u| (at, u)));
         while self.changes.len() > MAX_CHANGES {
--- a/crates/catalog/tests/log.rs
+++ b/crates/catalog/tests/log.rs
@@ -52,7 +52,7 @@
     log.append(9, Vec::new());
     log.append(8, vec![Update::Removed("a".into())]);
     assert_eq!(log.since(8), Delta::Updates(vec![Update::Removed("a".into())]));
-    assert_eq!(log.position(), Some(Position::from(9)));
+    assert_eq!(log.position().map(|p| p.revision), Some(9));
 }
 
 #[test]
@@ -92,4 +92,28 @@
     let later = Position::new(3, 7);
     assert_eq!(Position::unpack(later.pack()), Some(later));
     assert!(later > Position::new(2, 1_000));
+    let mut log = ChangeLog::default();
+    log.append(later, vec![Update::Removed("a".into())]);
+    log.append(later, vec![Update::Removed("b".into())]);
+    let corrected = log.position().unwrap();
+    assert_eq!(Position::unpack(corrected.pack()), Some(corrected));
+    assert!(corrected > later);
+}
+
+// Guards against followers that never hear of a change that the watches of their reader have
+// missed and a list has shown: the list has no newer revision than the one that they hold.
+#[test]
+fn followers_at_the_newest_revision_are_told_what_a_list_corrects() {
+    let mut log = ChangeLog::default();
+    log.append(1, Vec::new());
+    log.append(9, Vec::new());
+    let follower = log.position().unwrap();
+    log.append(9, vec![Update::Removed("a".into())]);
+    assert_eq!(log.since(follower), Delta::Updates(vec![Update::Removed("a".into())]));
+    let follower = log.position().unwrap();
+    assert_eq!(log.since(follower), Delta::Updates(Vec::new()), "they are told once");
+    log.append(9, vec![Update::Removed("b".into())]);
+    assert_eq!(log.since(follower), Delta::Updates(vec![Update::Removed("b".into())]));
+    log.append(10, Vec::new());
+    assert_eq!(log.position(), Some(Position::from(10)));
 }
