--- a/crates/edge/src/evacuate.rs
+++ b/crates/edge/src/evacuate.rs
@@ -12,7 +12,7 @@
 use crate::backoff::Backoff;
 use crate::core::Core;
 use crate::directory::{Directory, DirectoryError, Kind, Record, RecordBody};
-use crate::follow::list;
+use crate::read::list;
 
 /// Time between two lists, in percent of the time within which an evacuation must be in force. The
 /// rest of that time allows for one call that gets no answer and for the wait of a host that asks
--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -14,9 +14,10 @@
 use crate::backoff::Backoff;
 use crate::core::{Core, Source};
 use crate::directory::{
-    Change, Declared, Directory, DirectoryError, Kind, Positioned, Record, RecordBody, Updates,
+    Change, Declared, Directory, DirectoryError, Kind, Record, RecordBody, Updates,
 };
 use crate::evacuate;
+use crate::read::{STORE_TIMEOUT, list, read};
 
 /// Time between two reads of the configuration, in percent of the time within which a change must
 /// be in force. It leaves the hosts that ask this one enough time to notice that its reads fail and
@@ -26,8 +27,6 @@
 /// longer work. The rest allows for the later arrival of the proof at hosts that ask this one, and
 /// for one lost call.
 const PROOF_INTERVAL_PERCENT: u64 = 20;
-/// Time-out for a response of the store: sixty times its usual response time.
-const STORE_TIMEOUT: Ms = Ms(700);
 /// Time kept back, when a watch ends, of the time after which a draining target must get nothing
 /// new. A watch whose connection is dead is detected [`STORE_TIMEOUT`] after its end, and the list
 /// has to be read then.
@@ -244,32 +243,6 @@
     core.apply_target_list(Source::List, position, entries.collect(), names);
 }
 
-/// Reads all records of a kind. Also returns the position from which to watch for changes.
-pub(crate) async fn list(
-    core: &Core,
-    directory: &dyn Directory,
-    kind: Kind,
-) -> Result<(Vec<Record>, Position), DirectoryError> {
-    let mut records = Vec::new();
-    let mut after: Option<String> = None;
-    let mut first: Option<Position> = None;
-    loop {
-        let list = || directory.list(kind, after.as_deref());
-        core.metrics.store_call("list");
-        let page = read(core, STORE_TIMEOUT, list).await?;
-        records.extend(page.records);
-        // Of the first page: the watch from there also reports changes made between two pages.
-        let since = *first.get_or_insert(page.position);
-        if page.position.era != since.era {
-            return Err(DirectoryError::Restored);
-        }
-        match page.next {
-            Some(next) => after = Some(next),
-            None => return Ok((records, since)),
-        }
-    }
-}
-
 fn update(record: Record) -> Update {
     match record.body {
         RecordBody::Target(entry) => Update::Set(entry),
@@ -280,44 +253,3 @@
         }
     }
 }
-
-/// One call that reads from the store. An answer from before the store came back from an older copy
-/// is late, and says nothing of what the store holds now.
-async fn read<T, F>(core: &Core, within: Ms, call: impl Fn() -> F) -> Result<T, DirectoryError>
-where
-    T: Positioned,
-    F: Future<Output = Result<T, DirectoryError>>,
-{
-    let answer = call_store(core, within, call).await?;
-    match core.note_era(answer.position().era) {
-        true => Ok(answer),
-        false => Err(DirectoryError::Restored),
-    }
-}
-
-/// One call to the store. If it failed because its time ran out while this host did not run, it is
-/// sent once more: the store would count as unreachable, and another host would take over the
-/// reading, although the store has answered.
-async fn call_store<T, F>(
-    core: &Core,
-    within: Ms,
-    call: impl Fn() -> F,
-) -> Result<T, DirectoryError>
-where
-    F: Future<Output = Result<T, DirectoryError>>,
-{
-    let before = core.pauses.lost();
-    match with_timeout(within, call()).await {
-        Err(DirectoryError::Down) if core.pauses.excuses(before) => {
-            with_timeout(within, call()).await
-        }
-        result => result,
-    }
-}
-
-async fn with_timeout<T>(
-    timeout: Ms,
-    call: impl Future<Output = Result<T, DirectoryError>>,
-) -> Result<T, DirectoryError> {
-    tokio::time::timeout(timeout.duration(), call).await.unwrap_or(Err(DirectoryError::Down))
-}
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -33,6 +33,7 @@
 mod notify;
 mod pause;
 mod plain;
+mod read;
 mod refusal;
 mod relay;
 mod reload;
