--- a/crates/catalog/src/registry.rs
+++ b/crates/catalog/src/registry.rs
@@ -13,9 +13,10 @@
 //! | a removal without a recent outage of the store | the target is removed at once |
 //! | a registration missing or removed shortly after an outage of the store | the target is kept until [`LAPSE_GRACE`] after the store's return, then removed |
 //!
-//! The last rule but one covers a copy that is older than the removal: it lists the target until
-//! its registration lapses, and the target would get requests that it no longer serves. The last
-//! rule covers an outage in which the leases of all registrations expire. Without it, a
+//! The rule for removed targets covers a copy that is older than the removal: it lists the target
+//! until its registration lapses, and the target would get requests that it no longer serves.
+//!
+//! The last rule covers an outage in which the leases of all registrations expire. Without it, a
 //! host would have no target left although all of them are running.
 
 use base::{Ms, TargetId};
