A host whose settings are not announced any more waits for its timer

Seen: each run of the path's tests used a core per host. Of a run that did not end, a used core told nothing of which loop did not end.

Cause: reload::follow took a closed channel for a turn without news. recv() on it is ready at once, each time, so the loop went round without waiting. The program keeps the sender as long as it lives, the tests drop it when a host has started.

Change: the arm matches Some(()) only, so that a closed channel leaves the timer.

--- a/crates/edge/src/reload.rs
+++ b/crates/edge/src/reload.rs
@@ -20,7 +20,9 @@
     let mut last = file_stamp(&path);
     loop {
         let signalled = tokio::select! {
-            message = changed.recv() => message.is_some(),
+            // A closed channel is ready at once, each time. Taken for a turn, it would keep the
+            // processor busy and the timer waiting; as it doesn't match, the timer is left.
+            Some(()) = changed.recv() => true,
             () = tokio::time::sleep(CHECK_INTERVAL.duration()) => false,
         };
         let current = file_stamp(&path);
