Late pieces are given up only after calls have shown that they have no chance

Seen: 503 "its stages can't be done in time" for requests with 2.3 s of their 3 s left, eight requests in the whole system.

Cause: a pause makes requests late. Late pieces were then given up after the time of two declared calls (112 ms) if no call had taken any, and a target that takes longer for one call (150 ms) begins none in that time. The rate from which their chance was computed was zero because nothing had been seen, not because nothing was possible. It needs no pause in general: any target that is over twice as slow as declared does it.

Evidence: the lines of a refusal have stage 1, fault late, took_ms 123, left_ms 2341, wait_ms 14: the pieces had waited 123 ms and were withdrawn 14 ms before a call could begin. So not the learned time of a stage, which was the other hypothesis: it is bounded by twice the declared one, 96 ms here. New line 321, PiecesGivenUp, has what the judgement saw: the time waited, the calls that began, the late pieces they took.

Change: while a target is at work on a call that isn't overdue, two calls have to begin before any late piece is given up, and these are kept although they are older than the window. When all calls are overdue, or none is under way, it is as before, so that nobody waits behind a target that answers nothing.

--- a/crates/edge/src/composer/mod.rs
+++ b/crates/edge/src/composer/mod.rs
@@ -14,7 +14,8 @@
 
 use base::{Ms, PoolId, RegionId, TargetId};
 use catalog::Batch;
-use sched::batch::{Batcher, Effect, Event, PieceId, TargetInfo};
+use logs::note;
+use sched::batch::{Batcher, Effect, Event, GivenUp, PieceId, TargetInfo};
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -35,6 +36,9 @@
 /// change notification.
 const REFRESH_INTERVAL: Ms = Ms(500);
 
+/// Largest number of requests that one log line names.
+const MAX_LOGGED: usize = 8;
+
 type Shared<T> = Arc<Mutex<T>>;
 
 struct State {
@@ -62,6 +66,19 @@
     region_loads: Mutex<HashMap<(PoolId, RegionId), (Ms, Ms)>>,
 }
 
+fn log_given_up(service: &PoolId, given_up: &GivenUp) {
+    let GivenUp { requests, pieces, chance } = given_up;
+    note!(
+        logs::Event::PiecesGivenUp,
+        service = %service,
+        requests = requests.iter().take(MAX_LOGGED).map(|id| &**id).collect::<Vec<_>>().join(","),
+        pieces,
+        waited_ms = chance.span.0,
+        calls = chance.calls,
+        taken = chance.taken
+    );
+}
+
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
@@ -227,6 +244,9 @@
             state.batcher.reduce(now, Event::Paused(pause), &mut effects);
         }
         state.batcher.reduce(now, event, &mut effects);
+        if let Some(given_up) = state.batcher.take_given_up() {
+            log_given_up(&service.name, &given_up);
+        }
         let sooner = match (before, state.batcher.wake(now)) {
             (Some(before), Some(after)) => after < before,
             (None, after) => after.is_some(),
--- a/crates/logs/src/event.rs
+++ b/crates/logs/src/event.rs
@@ -90,6 +90,7 @@
     TargetLimited = 318, Info, "A target announced a limit on the requests per second that it takes from all hosts together.";
     TargetUnlimited = 319, Info, "A target no longer announces a limit on requests per second.";
     TargetSaysLeaving = 320, Info, "A target announced in an answer that it is about to leave.";
+    PiecesGivenUp = 321, Info, "Late pieces of a stage were given up: how many calls began while late pieces waited, and how many of them they took.";
     JournalUnavailable = 400, Warn, "A key could not be recorded; its request was refused.";
     FinishRetried = 401, Warn, "The outcome of a keyed request could not be recorded yet; the write is retried.";
     FinishLost = 402, Error, "The outcome of a keyed request could not be recorded; re-sends are answered as unknown.";
--- a/crates/sched/src/batch/late.rs
+++ b/crates/sched/src/batch/late.rs
@@ -15,6 +15,10 @@
 /// Time in full calls for which late pieces wait before any is given up. Short peaks are over by
 /// then.
 const GRACE_CALLS: u64 = 2;
+/// Number of calls that have to begin before any late piece is given up, while a target is at work
+/// and not overdue. A target may take several times as long as declared: then no call begins in
+/// [`GRACE_CALLS`], and the rate of late pieces is zero although the next call takes them all.
+const MIN_CALLS: usize = 2;
 
 /// Late pieces of one request that wait for a call.
 pub(super) struct Late<K> {
@@ -24,6 +28,25 @@
     pub(super) expires: Ms,
 }
 
+/// What is known of the chance of late pieces.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct LateChance {
+    /// Time for which there have been late pieces at all times, at most the window.
+    pub span: Ms,
+    /// Number of calls that began within it.
+    pub calls: usize,
+    /// Number of late pieces that those calls took.
+    pub taken: usize,
+}
+
+impl LateChance {
+    /// Whether this number of late pieces will get into calls within `time`.
+    fn suffices(&self, pieces: usize, time: Ms) -> bool {
+        let rate = self.taken as f64 / self.span.0 as f64;
+        pieces as f64 <= rate * time.0 as f64
+    }
+}
+
 /// Measures how fast late pieces get into calls while some are waiting.
 #[derive(Debug, Default)]
 pub(super) struct LateQueue {
@@ -46,11 +69,13 @@
     }
 
     /// Keys of the waiting requests that have no chance. They are passed in the order in which they
-    /// would get into a call. `call` is the duration of a full call.
+    /// would get into a call. `call` is the duration of a full call, and `working` whether a target
+    /// is at work on a call that isn't overdue, so that the next one is only a matter of time.
     pub(super) fn hopeless<K>(
         &mut self,
         now: Ms,
         call: Ms,
+        working: bool,
         waiting: impl IntoIterator<Item = Late<K>>,
     ) -> Vec<K> {
         let mut waiting = waiting.into_iter().peekable();
@@ -60,24 +85,42 @@
             return Vec::new();
         }
         let since = *self.since.get_or_insert(now);
-        let window = Ms(call.0 * WINDOW_CALLS);
-        let span = (now - since).min(window);
-        while self.taken.front().is_some_and(|(at, _)| *at + window < now) {
-            self.taken.pop_front();
-        }
-        if span < Ms(call.0 * GRACE_CALLS) {
+        self.forget(now, Ms(call.0 * WINDOW_CALLS));
+        let chance = self.chance(now, call);
+        let waited = now - since >= Ms(call.0 * GRACE_CALLS);
+        if !waited || (working && chance.calls < MIN_CALLS) {
             return Vec::new();
         }
-        let taken: usize = self.taken.iter().map(|(_, pieces)| pieces).sum();
-        let rate = taken as f64 / span.0 as f64;
         let mut ahead = 0;
         let mut out = Vec::new();
         for late in waiting {
-            match (ahead + late.pieces) as f64 <= rate * (late.expires - now).0 as f64 {
+            match chance.suffices(ahead + late.pieces, late.expires - now) {
                 true => ahead += late.pieces,
                 false => out.push(late.key),
             }
         }
         out
     }
+
+    /// Forgets calls that began before the window, but keeps [`MIN_CALLS`]: calls that take longer
+    /// than the window would otherwise never count.
+    fn forget(&mut self, now: Ms, window: Ms) {
+        while self.taken.len() > MIN_CALLS
+            && self.taken.front().is_some_and(|(at, _)| *at + window < now)
+        {
+            self.taken.pop_front();
+        }
+    }
+
+    /// What is known of the chance of late pieces. `call` is the duration of a full call.
+    pub(super) fn chance(&self, now: Ms, call: Ms) -> LateChance {
+        let window = Ms(call.0 * WINDOW_CALLS);
+        let begun = self.taken.front().map_or(Ms::ZERO, |(at, _)| now - *at);
+        let waited = self.since.map_or(Ms::ZERO, |since| now - since);
+        LateChance {
+            span: waited.min(window.max(begun)),
+            calls: self.taken.len(),
+            taken: self.taken.iter().map(|(_, pieces)| pieces).sum(),
+        }
+    }
 }
--- a/crates/sched/src/batch/mod.rs
+++ b/crates/sched/src/batch/mod.rs
@@ -30,6 +30,7 @@
 mod target;
 mod types;
 
+pub use late::LateChance;
 pub use order::LAST_SHARE;
 pub use target::{OVERDUE_FACTOR, OVERDUE_SLACK};
 pub use types::{CallEnd, CallId, Effect, Event, Piece, PieceEnd, PieceId, Source, TargetInfo};
@@ -37,6 +38,7 @@
 use base::{DomainId, Ms, PoolId, TargetId};
 use catalog::Batch;
 use std::collections::{BTreeMap, HashMap, HashSet};
+use std::sync::Arc;
 
 use crate::budget::{Allowance, RetryBudget};
 use late::{Late, LateQueue};
@@ -73,6 +75,18 @@
     /// Average size of the results of a call, bytes; none before the first call.
     bytes: Option<f64>,
     late: LateQueue,
+    given_up: Option<GivenUp>,
+}
+
+/// Late pieces that were ended because they had no chance to get into a call, and why.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct GivenUp {
+    /// The requests that they belong to.
+    pub requests: Vec<Arc<str>>,
+    /// Number of pieces.
+    pub pieces: usize,
+    /// What was known of their chance.
+    pub chance: LateChance,
 }
 
 impl Batcher {
@@ -89,6 +103,7 @@
             next: 0,
             bytes: None,
             late: LateQueue::default(),
+            given_up: None,
         }
     }
 
@@ -179,10 +194,27 @@
             late.pieces += 1;
             late.key.push(*id);
         }
-        let hopeless = self.late.hopeless(now, self.config.full(), waiting.into_values());
+        let full = self.config.full();
+        let working = self.targets.values().any(Target::working);
+        let hopeless = self.late.hopeless(now, full, working, waiting.into_values());
+        if hopeless.is_empty() {
+            return;
+        }
+        let request =
+            |ids: &Vec<PieceId>| Some(self.pieces.get(ids.first()?)?.piece.request.clone());
+        self.given_up = Some(GivenUp {
+            requests: hopeless.iter().filter_map(request).collect(),
+            pieces: hopeless.iter().map(Vec::len).sum(),
+            chance: self.late.chance(now, full),
+        });
         hopeless.into_iter().flatten().for_each(|id| self.finish(id, PieceEnd::Late, out));
     }
 
+    /// Takes the account of the late pieces that were given up since it was last taken.
+    pub fn take_given_up(&mut self) -> Option<GivenUp> {
+        self.given_up.take()
+    }
+
     /// Deletes results that were read where the next call would not find enough room.
     fn reclaim(&mut self, now: Ms, out: &mut Vec<Effect>) {
         let waiting = self.pieces.values().filter(|w| w.queued).take(self.config.size);
--- a/crates/sched/src/batch/target.rs
+++ b/crates/sched/src/batch/target.rs
@@ -97,6 +97,11 @@
         !self.open.is_empty()
     }
 
+    /// Whether it is at work on a call that isn't overdue.
+    pub(super) fn working(&self) -> bool {
+        self.open.iter().any(|open| !open.requeued)
+    }
+
     pub(super) fn usable(&self, now: Ms) -> bool {
         self.live && self.paused_until <= now
     }
