A store that answers watches at once is not called as fast as it answers

Found by counting turns in each loop that waits for something that may be there at once.

Seen: 41,011 and 57,287 calls to the store in one second by one host, and a whole core, beside a stand-in of the store that answers watches without waiting and without events. Every call is priced and counts towards the rate that all hosts share.

Cause: the delay between two watches held only after one that brought changes. One that ends at once without any was followed by the next one at once.

Change: the delay also holds after a watch that ended before it.

--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -33,9 +33,11 @@
 const WATCH_MARGIN: Ms = Ms(1_000);
 /// Longest wait of a watch.
 const MAX_WATCH: Ms = Ms(8_000);
-/// Delay after changes before the next watch. Changes come in groups, when targets are replaced or
-/// register again; without the delay each change would cost a call.
-const CHANGE_BATCH_DELAY: Ms = Ms(300);
+/// Delay before the next watch after one that brought changes or ended before this time. Changes
+/// come in groups, when targets are replaced or register again; without the delay each change would
+/// cost a call. A store that answers watches at once, without changes, would be called as fast as it
+/// answers.
+const WATCH_DELAY: Ms = Ms(300);
 /// Time between two lists of the targets, in case a watch missed a change.
 const LIST_INTERVAL: Ms = Ms::secs(15);
 
@@ -218,11 +220,12 @@
             continue;
         };
         core.metrics.store_call("watch");
+        let begun = core.clock.now();
         let changed = watch(core, directory, since, wait).await?;
         backoff.succeeded();
         core.expire();
-        if changed {
-            tokio::time::sleep(CHANGE_BATCH_DELAY.duration()).await;
+        if changed || core.clock.now() - begun < WATCH_DELAY {
+            tokio::time::sleep(WATCH_DELAY.duration()).await;
         }
     }
 }
