Arms and loops of the edge host that wait for a channel end when it is closed

The arm that let a host spin took a closed channel for a change. The others were gone through: eras, ends of reading, changes, proofs, and the waits before a loop's turn. Comments said so where the code relied on it; now the code needs no such sender: an arm matches a change only, a wait for a closed channel ends its task. No behaviour changes while the senders live.

--- a/crates/edge/src/composer/mod.rs
+++ b/crates/edge/src/composer/mod.rs
@@ -218,7 +218,7 @@
                 _ = refresh.tick() => {
                     self.feed(&service, Event::Targets(self.target_infos(&service.name)));
                 }
-                _ = changed.changed() => {
+                Ok(()) = changed.changed() => {
                     if let Some(batch) = self.batch_config(&service.name) {
                         self.feed(&service, Event::Config(batch));
                     }
--- a/crates/edge/src/core/proof.rs
+++ b/crates/edge/src/core/proof.rs
@@ -90,8 +90,10 @@
             if rest == Ms::ZERO {
                 return;
             }
-            // The sender lives in `self`; a time-out is noticed above.
-            let _ = tokio::time::timeout(rest.duration(), proofs.changed()).await;
+            // A time-out is noticed above.
+            if let Ok(Err(_)) = tokio::time::timeout(rest.duration(), proofs.changed()).await {
+                return;
+            }
         }
     }
 
--- a/crates/edge/src/evacuate.rs
+++ b/crates/edge/src/evacuate.rs
@@ -25,8 +25,9 @@
     let mut backoff = Backoff::default();
     let mut reading = core.store_reader();
     loop {
-        // The sender lives in `core`, so the wait can't fail.
-        let _ = reading.wait_for(|reads| *reads).await;
+        if reading.wait_for(|reads| *reads).await.is_err() {
+            return;
+        }
         let Some(interval) = interval(&core) else { return };
         let delay = match list_all(&core, directory.as_ref()).await {
             Ok(()) => {
--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -46,8 +46,9 @@
     let mut backoff = Backoff::default();
     let mut reading = core.store_reader();
     loop {
-        // The sender lives in `core`, so the wait can't fail.
-        let _ = reading.wait_for(|reads| *reads).await;
+        if reading.wait_for(|reads| *reads).await.is_err() {
+            return;
+        }
         let sent = core.clock.now();
         core.metrics.store_call("read");
         match read_catalog(&core, directory.as_ref()).await {
@@ -145,15 +146,16 @@
     let mut backoff = Backoff::default();
     let mut reading = core.store_reader();
     loop {
-        // The sender lives in `core`, so the waits can't fail.
-        let _ = reading.wait_for(|reads| *reads).await;
+        if reading.wait_for(|reads| *reads).await.is_err() {
+            return;
+        }
         let mut ended = core.store_reader();
         let mut eras = core.eras();
         let result = tokio::select! {
             result = follow(&core, directory.as_ref(), &mut backoff, &mut gap) => result,
-            _ = ended.wait_for(|reads| !*reads) => Ok(()),
+            Ok(_) = ended.wait_for(|reads| !*reads) => Ok(()),
             // A watch of the era before would wait for changes that it can't be told.
-            _ = eras.changed() => Ok(()),
+            Ok(()) = eras.changed() => Ok(()),
         };
         let Err(err) = result else { continue };
         gap.failed(&err);
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -100,8 +100,8 @@
         }
         tokio::select! {
             () = tokio::time::sleep(rest.duration()) => {}
-            _ = changes.changed() => {}
-            _ = proofs.changed(), if query.urgent => {}
+            Ok(()) = changes.changed() => {}
+            Ok(()) = proofs.changed(), if query.urgent => {}
         }
     }
 }
