A host that begins to read the store isn't taken for one that the store doesn't answer

The store and the machine pay twice; no caller is refused.

Cause: a host that starts reads the store until it has everything, then waits until it knows the others, one second after its start. The one that is to read from then on looks at the age of its proof first, and gave itself up for three seconds if that was overdue. But it had not been its turn to read: with a pause of half a second among its first, 1.24 s had passed since its last read, where 1.2 s are overdue. The others asked it all the same, it asked the next host, and a host that is asked reads for four seconds more.

Evidence: new line 516, ReadInVain, before the mend: proof_age_ms 1244, half a second after ReadingEnded.

Change: the store counts as silent only if this host has been reading it, and has run, for 200 ms.

--- a/crates/edge/src/core.rs
+++ b/crates/edge/src/core.rs
@@ -59,6 +59,8 @@
     store_readers: Mutex<StoreReaders>,
     /// Whether this host reads the store itself.
     store_reader: watch::Sender<bool>,
+    /// When this host last began to read the store itself.
+    reading_since: AtomicU64,
     /// Era of the store, since its last return from an older copy that this host has noticed.
     eras: watch::Sender<u64>,
     /// Notifies when a read of the configuration has proved that it is current, or has failed.
@@ -98,18 +100,19 @@
         metrics: Metrics,
     ) -> Self {
         let revoke = settings.bounds.revoke_strict.then_some(settings.bounds.revoke_ms);
+        let now = clock.now();
         Self {
             dialect,
             metrics,
             members,
             pauses,
-            gate: Gate::new(clock.now(), &settings),
+            gate: Gate::new(now, &settings),
             liveness: LivenessProbes::default(),
             changed: watch::Sender::new(()),
             budget: Mutex::new(RetryBudget::new(allowance(&settings))),
             draws: AtomicU64::new(base::hash_parts(&[
                 settings.host.as_str().as_bytes(),
-                &clock.now().0.to_le_bytes(),
+                &now.0.to_le_bytes(),
             ])),
             clock,
             settings: ArcSwap::from_pointee(settings),
@@ -122,6 +125,7 @@
             directory: Mutex::default(),
             store_readers: Mutex::default(),
             store_reader: watch::Sender::new(true),
+            reading_since: AtomicU64::new(now.0),
             eras: watch::Sender::new(0),
             proofs: watch::Sender::new(()),
             read_failed: AtomicU64::new(0),
@@ -208,6 +212,9 @@
 
     /// Sets whether this host reads the store itself.
     pub(crate) fn set_store_reader(&self, reads: bool) {
+        if reads && !*self.store_reader.borrow() {
+            self.reading_since.store(self.clock.now().0, Ordering::Relaxed);
+        }
         let changed =
             self.store_reader.send_if_modified(|reader| std::mem::replace(reader, reads) != reads);
         match reads {
--- a/crates/edge/src/core/proof.rs
+++ b/crates/edge/src/core/proof.rs
@@ -59,11 +59,20 @@
         evacuation || overdue(self.proved(), keys.min(change))
     }
 
-    /// Whether the newest proof is overdue although this host has run long enough for a read. If it
-    /// was just paused, its own reads are only late, and say nothing of the store.
+    /// Whether the newest proof is overdue although this host has read the store, and has run, for
+    /// long enough. If it was just paused, or begins to read only now, its proof is old for reasons
+    /// of its own, and says nothing of the store.
     pub(crate) fn store_silent(&self) -> bool {
         let running = self.clock.now() - self.pauses.ended();
-        self.proof_overdue() && running >= PROOF_TIME
+        self.proof_overdue() && running.min(self.reading_for()) >= PROOF_TIME
+    }
+
+    /// Time for which this host has been reading the store itself; zero while it doesn't.
+    pub(crate) fn reading_for(&self) -> Ms {
+        match *self.store_reader.borrow() {
+            true => self.clock.now() - Ms(self.reading_since.load(Ordering::Relaxed)),
+            false => Ms::ZERO,
+        }
     }
 
     /// Whether the configuration needs no keys, or keys may be served now.
--- a/crates/edge/src/source.rs
+++ b/crates/edge/src/source.rs
@@ -89,6 +89,11 @@
     if matches!(reader, Some(Owner::Me)) && core.store_silent() {
         // The store rejects the calls of this host, or can't be reached from it. Another host may
         // still be served.
+        note!(
+            logs::Event::ReadInVain,
+            proof_age_ms = core.proof_age().map(|age| age.0),
+            reading_ms = core.reading_for().0
+        );
         core.store_readers().failed(now, core.members.me(), ReaderFault::Stale);
     }
     let asked = core.store_readers().reads(now);
--- a/crates/logs/src/event.rs
+++ b/crates/logs/src/event.rs
@@ -111,6 +111,7 @@
     ReadingEnded = 513, Info, "The host does not read the platform's store itself; it follows another host that does.";
     StoreRestored = 514, Warn, "The platform's store has come back from an older copy: what was written since is gone until it is written again.";
     EraUnreadable = 515, Warn, "An answer of the platform's store names no era that can be read; it counts as one of the newest era. Logged once.";
+    ReadInVain = 516, Warn, "The host is to read the platform's store for others, but its proof is overdue: it follows another host for some seconds.";
     PeerJoined = 600, Info, "A host was discovered.";
     PeerLost = 601, Warn, "No heartbeat of a host was received within the suspicion time-out.";
     PeerLeaving = 602, Info, "A host is stopping.";
