A host that has just started and knows no other goes on reading the store

Cause: a host that has loaded everything stops reading at its next turn, after 250 ms, and waits until one second after its start to learn of the others. Between, nobody tells it of a change. Undisturbed, both tests make theirs in the first 250 ms; a pause moves it into the gap. In the first, the store then came back from a copy made before the removal, so that the host never heard of it.

Evidence: ReadingEnded right after HostPaused (223 and 305 ms), the change after it, ReadingBegun one second after the start. It needs no pause: a change 350 ms after the start is not heard in time in 3 of 3 runs.

Change: as long as a host that has just started knows no other host, it goes on reading. One that knows others waits as before, so that a fleet that starts at once calls the store no more often.

--- a/crates/edge/src/source.rs
+++ b/crates/edge/src/source.rs
@@ -73,9 +73,12 @@
 }
 
 /// The step of a host that has just started: it reads the store until it has loaded everything, and
-/// then waits to learn of the other hosts.
+/// then waits to learn of the other hosts. As long as it knows none, nobody can tell it of a change,
+/// and it goes on reading.
 fn startup_step(core: &Core) -> Step {
-    core.set_store_reader(!loaded(core) || core.store_readers().reads(core.clock.now()));
+    let asked = core.store_readers().reads(core.clock.now());
+    let alone = core.members.hosts().len() <= 1;
+    core.set_store_reader(!loaded(core) || asked || alone);
     Step::Wait
 }
 
