--- a/crates/sched/src/batch/late.rs
+++ b/crates/sched/src/batch/late.rs
@@ -7,7 +7,11 @@
 //! on time need.
 
 use base::Ms;
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+
+use super::target::Target;
+use super::{Batcher, Effect, PieceEnd, PieceId, Waiting};
 
 /// Window over which the rate of late pieces is measured, in full calls of one target: long enough
 /// to average over calls that hold two or three requests.
@@ -31,7 +35,8 @@
 /// What is known of the chance of late pieces.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct LateChance {
-    /// Time for which there have been late pieces at all times, at most the window.
+    /// Time for which there have been late pieces at all times: at most the window, or the time since
+    /// the oldest call that counts.
     pub span: Ms,
     /// Number of calls that began within it.
     pub calls: usize,
@@ -47,6 +52,17 @@
     }
 }
 
+/// Late pieces that were ended because they had no chance to get into a call, and why.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct GivenUp {
+    /// The requests that they belong to.
+    pub requests: Vec<Arc<str>>,
+    /// Number of pieces.
+    pub pieces: usize,
+    /// What was known of their chance.
+    pub chance: LateChance,
+}
+
 /// Measures how fast late pieces get into calls while some are waiting.
 #[derive(Debug, Default)]
 pub(super) struct LateQueue {
@@ -124,3 +140,41 @@
         }
     }
 }
+
+impl Batcher {
+    /// Ends late pieces that won't get into a call before they expire.
+    pub(super) fn give_up_late(&mut self, now: Ms, out: &mut Vec<Effect>) {
+        let mut waiting: BTreeMap<_, Late<Vec<PieceId>>> = BTreeMap::new();
+        let waits = |w: &Waiting| w.queued && w.attempts == 0 && self.is_late(now, &w.piece);
+        for (id, w) in self.pieces.iter().filter(|(_, w)| waits(w)) {
+            let piece = &w.piece;
+            let key = (piece.rank, w.since, piece.request.clone(), piece.stage);
+            let late = waiting.entry(key).or_insert(Late {
+                key: Vec::new(),
+                pieces: 0,
+                expires: piece.expires,
+            });
+            late.pieces += 1;
+            late.key.push(*id);
+        }
+        let full = self.config.full();
+        let working = self.targets.values().any(Target::working);
+        let hopeless = self.late.hopeless(now, full, working, waiting.into_values());
+        if hopeless.is_empty() {
+            return;
+        }
+        let request =
+            |ids: &Vec<PieceId>| Some(self.pieces.get(ids.first()?)?.piece.request.clone());
+        self.given_up = Some(GivenUp {
+            requests: hopeless.iter().filter_map(request).collect(),
+            pieces: hopeless.iter().map(Vec::len).sum(),
+            chance: self.late.chance(now, full),
+        });
+        hopeless.into_iter().flatten().for_each(|id| self.finish(id, PieceEnd::Late, out));
+    }
+
+    /// Takes the account of the late pieces that were given up since it was last taken.
+    pub fn take_given_up(&mut self) -> Option<GivenUp> {
+        self.given_up.take()
+    }
+}
--- a/crates/sched/src/batch/mod.rs
+++ b/crates/sched/src/batch/mod.rs
@@ -30,7 +30,7 @@
 mod target;
 mod types;
 
-pub use late::LateChance;
+pub use late::{GivenUp, LateChance};
 pub use order::LAST_SHARE;
 pub use target::{OVERDUE_FACTOR, OVERDUE_SLACK};
 pub use types::{CallEnd, CallId, Effect, Event, Piece, PieceEnd, PieceId, Source, TargetInfo};
@@ -38,10 +38,9 @@
 use base::{DomainId, Ms, PoolId, TargetId};
 use catalog::Batch;
 use std::collections::{BTreeMap, HashMap, HashSet};
-use std::sync::Arc;
 
 use crate::budget::{Allowance, RetryBudget};
-use late::{Late, LateQueue};
+use late::LateQueue;
 use target::Target;
 
 /// Largest number of attempts to make one piece: the first one, and two more if targets crash.
@@ -78,17 +77,6 @@
     given_up: Option<GivenUp>,
 }
 
-/// Late pieces that were ended because they had no chance to get into a call, and why.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct GivenUp {
-    /// The requests that they belong to.
-    pub requests: Vec<Arc<str>>,
-    /// Number of pieces.
-    pub pieces: usize,
-    /// What was known of their chance.
-    pub chance: LateChance,
-}
-
 impl Batcher {
     /// A batcher without targets.
     pub fn new(service: PoolId, config: Batch, allowance: Allowance) -> Self {
@@ -179,42 +167,6 @@
         piece.due < now + self.config.time(1)
     }
 
-    /// Ends late pieces that won't get into a call before they expire.
-    fn give_up_late(&mut self, now: Ms, out: &mut Vec<Effect>) {
-        let mut waiting: BTreeMap<_, Late<Vec<PieceId>>> = BTreeMap::new();
-        let waits = |w: &Waiting| w.queued && w.attempts == 0 && self.is_late(now, &w.piece);
-        for (id, w) in self.pieces.iter().filter(|(_, w)| waits(w)) {
-            let piece = &w.piece;
-            let key = (piece.rank, w.since, piece.request.clone(), piece.stage);
-            let late = waiting.entry(key).or_insert(Late {
-                key: Vec::new(),
-                pieces: 0,
-                expires: piece.expires,
-            });
-            late.pieces += 1;
-            late.key.push(*id);
-        }
-        let full = self.config.full();
-        let working = self.targets.values().any(Target::working);
-        let hopeless = self.late.hopeless(now, full, working, waiting.into_values());
-        if hopeless.is_empty() {
-            return;
-        }
-        let request =
-            |ids: &Vec<PieceId>| Some(self.pieces.get(ids.first()?)?.piece.request.clone());
-        self.given_up = Some(GivenUp {
-            requests: hopeless.iter().filter_map(request).collect(),
-            pieces: hopeless.iter().map(Vec::len).sum(),
-            chance: self.late.chance(now, full),
-        });
-        hopeless.into_iter().flatten().for_each(|id| self.finish(id, PieceEnd::Late, out));
-    }
-
-    /// Takes the account of the late pieces that were given up since it was last taken.
-    pub fn take_given_up(&mut self) -> Option<GivenUp> {
-        self.given_up.take()
-    }
-
     /// Deletes results that were read where the next call would not find enough room.
     fn reclaim(&mut self, now: Ms, out: &mut Vec<Effect>) {
         let waiting = self.pieces.values().filter(|w| w.queued).take(self.config.size);
