A request whose answer arrived while the host was paused is answered

Seen: 502 "failed" for reads with 2.2 s of their 3 s left, or the same read run at a second target.

Cause: an attempt of a request that may be repeated ends after one and a half times its route's goal, by the clock. When the host had not run meanwhile, the time-out came before the answer was read, the target counted as silent, and the request went on elsewhere or, without another target, failed.

Evidence: HostPaused 687 ms and AttemptFailed fault=silent left_ms=2216 in the same millisecond.

Change: requests and prompts wait as stage calls do: once more for as long as the host was paused, at most their own time once more, and never past what the caller has. The body's time is counted in the same way. Stage calls wait as before.

--- a/crates/edge/src/composer/call.rs
+++ b/crates/edge/src/composer/call.rs
@@ -52,19 +52,19 @@
             let call = StageCall { target: link.name(), pieces, now: self.core.clock.now() };
             self.core.dialect.stage_call(&call)
         };
-        let answered =
-            match send(&self.core, &link, NO_REQUEST_ID, Wait::Running(timeout), build).await {
-                Ok(answered) => answered,
-                Err(SendFault::Blocked(BlockReason::Limited(rest) | BlockReason::Paused(rest))) => {
-                    return CallEnd::Deferred(rest);
-                }
-                // Counts as a full target: an evacuated one is about to be removed from the list, and a
-                // cold one can take a call again in a moment.
-                Err(SendFault::Blocked(_)) => return CallEnd::Full,
-                Err(SendFault::NoConnection) => return CallEnd::NoConnection,
-                Err(SendFault::Silent) => return CallEnd::Silent,
-                Err(SendFault::Broken | SendFault::Mismatch) => return CallEnd::Broken,
-            };
+        let wait = Wait::Running { within: timeout, most: Ms::MAX };
+        let answered = match send(&self.core, &link, NO_REQUEST_ID, wait, build).await {
+            Ok(answered) => answered,
+            Err(SendFault::Blocked(BlockReason::Limited(rest) | BlockReason::Paused(rest))) => {
+                return CallEnd::Deferred(rest);
+            }
+            // Counts as a full target: an evacuated one is about to be removed from the list, and a
+            // cold one can take a call again in a moment.
+            Err(SendFault::Blocked(_)) => return CallEnd::Full,
+            Err(SendFault::NoConnection) => return CallEnd::NoConnection,
+            Err(SendFault::Silent) => return CallEnd::Silent,
+            Err(SendFault::Broken | SendFault::Mismatch) => return CallEnd::Broken,
+        };
         let read = link::read(answered.body, MAX_ANSWER_BYTES);
         let body = match tokio::time::timeout(timeout.duration(), read).await {
             Ok(Ok(body)) => body,
--- a/crates/edge/src/plain.rs
+++ b/crates/edge/src/plain.rs
@@ -118,9 +118,10 @@
 }
 
 async fn attempt(core: &Core, call: &Call, link: &Arc<Link>, timeout: Ms) -> Attempt {
-    let started = core.clock.now();
+    let (started, lost) = (core.clock.now(), core.pauses.lost());
+    let wait = Wait::Running { within: timeout, most: call.left(started) };
     let build = || call.target_request(headers(core, call, link, &[], call.head.last_event, None));
-    let result = send(core, link, &call.head.id, Wait::Fixed(timeout), build).await;
+    let result = send(core, link, &call.head.id, wait, build).await;
     let answered = match result {
         Ok(answered) => answered,
         Err(fault) => return attempt_failed(core, call, link, fault),
@@ -133,7 +134,8 @@
         answered.lease.close();
         return Attempt::NotRun;
     }
-    let Ok((parts, body)) = read(answered, started + timeout - core.clock.now()).await else {
+    let end = (started + timeout + (core.pauses.lost() - lost)).min(call.deadline);
+    let Ok((parts, body)) = read(answered, end - core.clock.now()).await else {
         link.record(core.clock.now(), Outcome::Broken);
         return attempt_failed(core, call, link, SendFault::Broken);
     };
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -213,7 +213,8 @@
             self.results.free_after_read();
             call.target_request(headers(core, call, &link, inputs, last, fetch))
         };
-        let result = send(core, &link, &call.head.id, Wait::Fixed(wait), build).await;
+        let wait = Wait::Running { within: wait, most: left };
+        let result = send(core, &link, &call.head.id, wait, build).await;
         self.sends += u32::from(!matches!(result, Err(SendFault::Blocked(_))));
         match result {
             Ok(answered) => self.handle_answer(link, now, was_idle, answered).await,
--- a/crates/edge/src/send.rs
+++ b/crates/edge/src/send.rs
@@ -101,9 +101,14 @@
 pub(crate) enum Wait {
     /// For this long, since a caller waits no longer.
     Fixed(Ms),
-    /// For this long, not counting time for which this host did not run, up to twice as long. If the
-    /// answer arrived during a pause, it need not be computed again.
-    Running(Ms),
+    /// For `within`, not counting time for which this host did not run, up to `within` once more, and
+    /// not longer than `most` in all. An answer that arrived during a pause need not be computed again.
+    Running {
+        /// Time that the target has.
+        within: Ms,
+        /// Time that whoever waits has; `Ms::MAX` for any.
+        most: Ms,
+    },
 }
 
 /// Sends a request and waits for the head of its answer. `build` is called once there
@@ -133,9 +138,9 @@
     build: impl Fn() -> Request<Bytes>,
 ) -> Result<Answered, SendFault> {
     let open = link.begin();
-    let (Wait::Fixed(most) | Wait::Running(most)) = wait;
-    let lost = core.pauses.lost();
-    let end = core.clock.now() + most;
+    let (Wait::Fixed(within) | Wait::Running { within, .. }) = wait;
+    let (begun, lost) = (core.clock.now(), core.pauses.lost());
+    let end = begun + within;
     let mut conn = connect(link, ConnPolicy::Reuse).await?;
     gate::admit(core, link).map_err(SendFault::Blocked)?;
     let mut result = conn.send(build().map(full), end - core.clock.now()).await;
@@ -144,10 +149,12 @@
         gate::admit(core, link).map_err(SendFault::Blocked)?;
         result = conn.send(build().map(full), end - core.clock.now()).await;
     }
-    let paused = core.pauses.lost() - lost;
-    if let (Err(LinkError::Silent), Wait::Running(most), true) = (&result, wait, paused > Ms::ZERO)
-    {
-        result = conn.wait(paused.min(most)).await;
+    if let (Err(LinkError::Silent), Wait::Running { most, .. }) = (&result, wait) {
+        let paused = core.pauses.lost() - lost;
+        let rest = paused.min(within).min(begun + most - core.clock.now());
+        if rest > Ms::ZERO {
+            result = conn.wait(rest).await;
+        }
     }
     let response = result.map_err(|err| match err {
         LinkError::Connect | LinkError::Unsent => SendFault::NoConnection,
