--- a/crates/edge/src/core.rs
+++ b/crates/edge/src/core.rs
@@ -212,6 +212,7 @@
 
     /// Sets whether this host reads the store itself.
     pub(crate) fn set_store_reader(&self, reads: bool) {
+        // Before others can see that it reads: they would go by the time of an earlier reading.
         if reads && !*self.store_reader.borrow() {
             self.reading_since.store(self.clock.now().0, Ordering::Relaxed);
         }
