--- a/crates/edge/src/send.rs
+++ b/crates/edge/src/send.rs
@@ -99,7 +99,7 @@
 /// How long to wait for the head of an answer.
 #[derive(Clone, Copy, Debug)]
 pub(crate) enum Wait {
-    /// For this long, since a caller waits no longer.
+    /// For this long, whether this host ran or not.
     Fixed(Ms),
     /// For `within`, not counting time for which this host did not run, up to `within` once more, and
     /// not longer than `most` in all. An answer that arrived during a pause need not be computed again.
