--- a/crates/edge/src/core.rs
+++ b/crates/edge/src/core.rs
@@ -6,7 +6,7 @@
 mod silence;
 
 use arc_swap::{ArcSwap, ArcSwapOption, Guard};
-use base::{Clock, Ms, PauseMeter};
+use base::{Clock, Ms, PauseMeter, PoolId};
 use catalog::{Catalog, Limits, Residency};
 use logs::note;
 use sched::budget::{Allowance, RetryBudget};
@@ -168,6 +168,13 @@
         lock(&self.budget)
     }
 
+    /// Takes a retry from the budget of a service, if there is one left.
+    pub(crate) fn take_retry(&self, service: &PoolId) -> bool {
+        let granted = self.budget().take(self.clock.now(), service);
+        self.metrics.retry(service.as_str(), if granted { "granted" } else { "denied" });
+        granted
+    }
+
     pub(crate) fn poison(&self) -> MutexGuard<'_, Poison> {
         lock(&self.poison)
     }
--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -230,6 +230,7 @@
         tokio::time::sleep(COUNT_INTERVAL.duration()).await;
         let hosts = core.members.hosts();
         core.budget().hosts(hosts.len());
+        core.metrics.retry_hosts(core.budget().shares());
         let seen = hosts.iter().map(|h| (&h.host, &h.domain));
         core.gate.roster().see(core.clock.now(), seen);
     }
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -19,6 +19,8 @@
     time: Histogram<u64>,
     refusals: Counter<u64>,
     sends: Counter<u64>,
+    retries: Counter<u64>,
+    retry_hosts: Gauge<u64>,
     stages: Histogram<u64>,
     errors: Histogram<u64>,
     calls: Histogram<u64>,
@@ -45,6 +47,8 @@
             time: meter.u64_histogram("edge_answer_ms").build(),
             refusals: meter.u64_counter("edge_refusals").build(),
             sends: meter.u64_counter("edge_sends").build(),
+            retries: meter.u64_counter("edge_retries").build(),
+            retry_hosts: meter.u64_gauge("edge_retry_hosts").build(),
             stages: meter.u64_histogram("edge_stage_ms").build(),
             errors: meter.u64_histogram("edge_prediction_error_ms").build(),
             calls: meter.u64_histogram("edge_call_pieces").build(),
@@ -78,6 +82,17 @@
         self.sends.add(1, &[route, KeyValue::new("outcome", outcome)]);
     }
 
+    /// Counts a retry that a request wanted: `granted` or `denied` by the retry budget.
+    pub(crate) fn retry(&self, service: &str, result: &'static str) {
+        let service = KeyValue::new("service", service.to_owned());
+        self.retries.add(1, &[service, KeyValue::new("result", result)]);
+    }
+
+    /// Records the number of hosts among which this host divides the slack of the retry budget.
+    pub(crate) fn retry_hosts(&self, hosts: usize) {
+        self.retry_hosts.record(hosts as u64, &[]);
+    }
+
     /// Records the time that a stage took from its submission.
     pub(crate) fn stage(&self, service: &str, took: Ms) {
         self.stages.record(took.0, &[KeyValue::new("service", service.to_owned())]);
--- a/crates/edge/src/plain.rs
+++ b/crates/edge/src/plain.rs
@@ -49,12 +49,11 @@
     let mut tried: Vec<Arc<Link>> = Vec::new();
     let (mut sends, mut runs, mut failed) = (0, 0, None);
     let reason = loop {
-        let now = core.clock.now();
-        let left = call.left(now);
+        let left = call.left(core.clock.now());
         if left == Ms::ZERO {
             break if runs > 0 { Reason::Timeout } else { Reason::NoTime };
         }
-        if sends > 0 && !core.budget().take(now, &call.service) {
+        if sends > 0 && !core.take_retry(&call.service) {
             break if runs > 0 { Reason::Failed } else { Reason::NoTarget };
         }
         let want = Selection::Plain { risky: !idempotent };
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -178,8 +178,7 @@
     async fn send(&mut self, left: Ms) -> Sent {
         let now = self.core.clock.now();
         let first = self.sends == 0;
-        if self.tried.len() >= MAX_ENGINES
-            || (!first && !self.core.budget().take(now, &self.call.service))
+        if self.tried.len() >= MAX_ENGINES || (!first && !self.core.take_retry(&self.call.service))
         {
             return Sent::Blocked(BlockReason::NoTarget);
         }
--- a/crates/sched/src/budget.rs
+++ b/crates/sched/src/budget.rs
@@ -53,6 +53,11 @@
         self.hosts = self.hosts.max(live);
     }
 
+    /// The number of hosts among which the slack is divided.
+    pub fn shares(&self) -> usize {
+        self.hosts
+    }
+
     /// Records that a request for the service arrived.
     pub fn request(&mut self, now: Ms, service: &PoolId) {
         self.recent(now, service).requests.push_back(now);
