A process that has just started doesn't spend the fleet's retries again

Cause: the sum of the fleet rested on what each process remembers. A new one took itself for the whole fleet until its first count, and it had its share of the slack and of its new requests again, while what its predecessor had spent still counted.

Change: a process spends, for its first window, only the part of the ratio that no process spends otherwise (0.2 of it) and no slack. Together with a predecessor that has spent all it could (0.8) that stays within the bound, for any number of restarts. The first start of a whole fleet, which the platform tells, has no predecessor.

In the tests only the constructor takes one argument more, and the stand-in settings say that the fleet starts for the first time; no check changes.

--- a/crates/edge/src/core.rs
+++ b/crates/edge/src/core.rs
@@ -9,7 +9,7 @@
 use base::{Clock, Ms, PauseMeter, PoolId};
 use catalog::{Catalog, Limits, Residency};
 use logs::note;
-use sched::budget::{Allowance, RetryBudget};
+use sched::budget::{Allowance, Past, RetryBudget};
 use sched::directory::Directory;
 use sched::estimate::Estimate;
 use sched::poison::Poison;
@@ -101,6 +101,7 @@
     ) -> Self {
         let revoke = settings.bounds.revoke_strict.then_some(settings.bounds.revoke_ms);
         let now = clock.now();
+        let past = if settings.first_start { Past::None } else { Past::Unknown(now) };
         Self {
             dialect,
             metrics,
@@ -109,7 +110,7 @@
             gate: Gate::new(now, &settings),
             liveness: LivenessProbes::default(),
             changed: watch::Sender::new(()),
-            budget: Mutex::new(RetryBudget::new(allowance(&settings))),
+            budget: Mutex::new(RetryBudget::new(allowance(&settings), past)),
             draws: AtomicU64::new(base::hash_parts(&[
                 settings.host.as_str().as_bytes(),
                 &now.0.to_le_bytes(),
@@ -143,7 +144,7 @@
 
     /// Applies changed settings. Addresses that are in use stay as they were at the start.
     pub(crate) fn set_settings(&self, settings: Settings) {
-        *lock(&self.budget) = RetryBudget::new(allowance(&settings));
+        *lock(&self.budget) = RetryBudget::new(allowance(&settings), Past::None);
         self.settings.store(Arc::new(settings));
     }
 
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -61,6 +61,10 @@
     /// Hosts from which to learn of the others. Some of them may no longer exist.
     #[serde(default)]
     pub seeds: Vec<SocketAddr>,
+    /// Whether the whole fleet starts for the first time, so that none of its hosts can have sent
+    /// anything before. Default false.
+    #[serde(default)]
+    pub first_start: bool,
     /// Processor cores of the host, fractions included. Duties that one host has for many go to
     /// hosts with more of them. Default 1.
     #[serde(default = "one_core")]
--- a/crates/edge/tests/settings.rs
+++ b/crates/edge/tests/settings.rs
@@ -57,6 +57,7 @@
         ("ip", "10.0.0.1"),
         ("platform.addr|json", "\"10.0.0.9:8624\""),
         ("seedNodes|json", "[\"10.0.0.1:8628\",\"10.0.0.2:8628\"]"),
+        ("bootstrap|json", "true"),
         ("limits.cpuQuota|json", "0.25"),
         ("bounds.revokeStrict|json", "true"),
         ("bounds.revokeMs|json", "4000"),
--- a/crates/sched/src/batch/mod.rs
+++ b/crates/sched/src/batch/mod.rs
@@ -39,7 +39,7 @@
 use catalog::Batch;
 use std::collections::{BTreeMap, HashMap, HashSet};
 
-use crate::budget::{Allowance, RetryBudget};
+use crate::budget::{Allowance, Past, RetryBudget};
 use late::LateQueue;
 use target::Target;
 
@@ -84,7 +84,7 @@
             fill: config.size as f64,
             service,
             config,
-            budget: RetryBudget::new(allowance),
+            budget: RetryBudget::new(allowance, Past::None),
             targets: BTreeMap::new(),
             pieces: HashMap::new(),
             calls: HashMap::new(),
--- a/crates/sched/src/budget.rs
+++ b/crates/sched/src/budget.rs
@@ -8,6 +8,13 @@
 //! slack; the shares of all hosts add up to the whole. Hosts that can't see each other would each
 //! take a larger share, so the slack is divided by the largest number of hosts that were ever seen
 //! alive at once.
+//!
+//! The budget holds for the sum of a host's processes, too. One that has just started knows neither
+//! what its predecessor has spent within the window nor how many hosts there are. If it took a
+//! share as usual, a fleet that is restarted while its targets turn requests away would spend the
+//! budget once more with each restart. So for its first window it spends only what no process
+//! spends otherwise, [`YOUNG_SHARE`] of the ratio: together with a predecessor that has spent all
+//! it could, that is the ratio of the requests of both.
 
 use base::{Ms, PoolId};
 use std::collections::{HashMap, VecDeque};
@@ -16,6 +23,19 @@
 /// hosts that have just started and know too few of the others.
 const USABLE_SHARE: f64 = 0.8;
 
+/// Part of the ratio that a process spends while its predecessor may have spent within the window:
+/// the rest.
+const YOUNG_SHARE: f64 = 1.0 - USABLE_SHARE;
+
+/// What is known of the retries that this host sent before its process started.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Past {
+    /// It sent none: the whole fleet starts for the first time.
+    None,
+    /// It may have sent some until its process started, at this time.
+    Unknown(Ms),
+}
+
 /// The retry budget of the fleet.
 #[derive(Clone, Copy, Debug)]
 pub struct Allowance {
@@ -38,14 +58,15 @@
 #[derive(Debug)]
 pub struct RetryBudget {
     allowance: Allowance,
+    past: Past,
     hosts: usize,
     recent: HashMap<PoolId, Recent>,
 }
 
 impl RetryBudget {
     /// The budget of a host that knows no other yet.
-    pub fn new(allowance: Allowance) -> Self {
-        Self { allowance, hosts: 1, recent: HashMap::new() }
+    pub fn new(allowance: Allowance, past: Past) -> Self {
+        Self { allowance, past, hosts: 1, recent: HashMap::new() }
     }
 
     /// Records that `live` hosts are alive, this one included.
@@ -65,10 +86,15 @@
 
     /// Takes one retry from the budget, if there is one left.
     pub fn take(&mut self, now: Ms, service: &PoolId) -> bool {
-        let Allowance { ratio, slack, .. } = self.allowance;
+        let Allowance { ratio, slack, window } = self.allowance;
         let share = slack / self.hosts as f64;
+        let past = self.past;
         let recent = self.recent(now, service);
-        let limit = USABLE_SHARE * (ratio * recent.requests.len() as f64 + share);
+        let earned = ratio * recent.requests.len() as f64;
+        let limit = match past {
+            Past::Unknown(until) if now - until <= window => YOUNG_SHARE * earned,
+            Past::Unknown(_) | Past::None => USABLE_SHARE * (earned + share),
+        };
         let fits = (recent.retries.len() + 1) as f64 <= limit;
         if fits {
             recent.retries.push_back(now);
--- a/crates/sched/tests/budget.rs
+++ b/crates/sched/tests/budget.rs
@@ -1,7 +1,7 @@
 //! Tests of the retry budget of a fleet whose hosts are restarted.
 
 use base::{Ms, PoolId};
-use sched::budget::{Allowance, RetryBudget};
+use sched::budget::{Allowance, Past, RetryBudget};
 
 const HOSTS: usize = 9;
 const ALLOWANCE: Allowance = Allowance { ratio: 0.2, slack: 58.0, window: Ms(10_000) };
@@ -22,14 +22,14 @@
 /// Plays a fleet whose hosts start again at these times, each given as a host and a time. Returns
 /// the number of requests in a window, and the most retries in any window.
 fn play(restarts: &[(usize, Ms)], counted_after: Ms) -> (usize, usize) {
-    let start = |at| Process { budget: RetryBudget::new(ALLOWANCE), started: at };
-    let mut fleet: Vec<Process> = (0..HOSTS).map(|_| start(Ms(0))).collect();
+    let start = |at, past| Process { budget: RetryBudget::new(ALLOWANCE, past), started: at };
+    let mut fleet: Vec<Process> = (0..HOSTS).map(|_| start(Ms(0), Past::None)).collect();
     let service = PoolId::from("engines");
     let mut retries: Vec<Ms> = Vec::new();
     for now in (0..END.0).step_by(REQUEST_INTERVAL as usize).map(Ms) {
         for (i, host) in fleet.iter_mut().enumerate() {
             if restarts.contains(&(i, now)) {
-                *host = start(now);
+                *host = start(now, Past::Unknown(now));
             }
             if now >= host.started + counted_after {
                 host.budget.hosts(HOSTS);
--- a/crates/sched/tests/small.rs
+++ b/crates/sched/tests/small.rs
@@ -3,7 +3,7 @@
 
 use base::{Ms, PoolId, TargetId};
 use catalog::{Backend, Batch, Residency, RetrySafety, Route, Stage};
-use sched::budget::{Allowance, RetryBudget};
+use sched::budget::{Allowance, Past, RetryBudget};
 use sched::estimate::Estimate;
 use sched::health::{Health, Outcome};
 use sched::poison::{POISON_THRESHOLD, Poison, RETENTION, Recipients, recipients};
@@ -22,7 +22,7 @@
     let allowance = Allowance { ratio: 0.2, slack: 52.0, window: Ms(10_000) };
     let mut spent = 0;
     for _ in 0..6 {
-        let mut budget = RetryBudget::new(allowance);
+        let mut budget = RetryBudget::new(allowance, Past::None);
         budget.hosts(6);
         for _ in 0..20 {
             budget.request(Ms(0), &service());
@@ -36,7 +36,7 @@
 #[test]
 fn a_host_that_sees_fewer_others_spends_no_more() {
     let allowance = Allowance { ratio: 0.0, slack: 60.0, window: Ms(10_000) };
-    let mut budget = RetryBudget::new(allowance);
+    let mut budget = RetryBudget::new(allowance, Past::None);
     budget.hosts(6);
     budget.hosts(1);
     let spent = (0..100).filter(|_| budget.take(Ms(0), &service())).count();
@@ -46,7 +46,7 @@
 #[test]
 fn retries_are_available_again_after_the_window() {
     let allowance = Allowance { ratio: 0.0, slack: 10.0, window: Ms(1_000) };
-    let mut budget = RetryBudget::new(allowance);
+    let mut budget = RetryBudget::new(allowance, Past::None);
     while budget.take(Ms(0), &service()) {}
     assert!(!budget.take(Ms(1_000), &service()));
     assert!(budget.take(Ms(1_001), &service()));
