A reload of the settings keeps what was spent of the retries

What callers saw: targets that turn requests away would get the fleet's slack again from each host whose settings change, and all of it until the host has counted the others again.

Cause: a reload replaced the whole account by a new one, with one host in it. Change: it replaces the allowance, and the account stays.

--- a/crates/edge/src/core.rs
+++ b/crates/edge/src/core.rs
@@ -144,7 +144,7 @@
 
     /// Applies changed settings. Addresses that are in use stay as they were at the start.
     pub(crate) fn set_settings(&self, settings: Settings) {
-        *lock(&self.budget) = RetryBudget::new(allowance(&settings), Past::None);
+        self.budget().set_allowance(allowance(&settings));
         self.settings.store(Arc::new(settings));
     }
 
--- a/crates/sched/src/budget.rs
+++ b/crates/sched/src/budget.rs
@@ -69,6 +69,11 @@
         Self { allowance, past, hosts: 1, recent: HashMap::new() }
     }
 
+    /// Changes the allowance. What has been spent still counts.
+    pub fn set_allowance(&mut self, allowance: Allowance) {
+        self.allowance = allowance;
+    }
+
     /// Records that `live` hosts are alive, this one included.
     pub fn hosts(&mut self, live: usize) {
         self.hosts = self.hosts.max(live);
