A host that can't connect to any target of a service says so in its lines

A module without network (sched::reach) judges it by the host's own new connections: failures at three targets of a service, or all if it has fewer, and none opened since.

--- a/crates/edge/src/core.rs
+++ b/crates/edge/src/core.rs
@@ -13,8 +13,10 @@
 use sched::directory::Directory;
 use sched::estimate::Estimate;
 use sched::poison::Poison;
+use sched::reach::Reach;
 use sched::sample::Sampler;
 use sched::store_reader::StoreReaders;
+use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use tokio::sync::watch;
@@ -67,6 +69,8 @@
     proofs: watch::Sender<()>,
     /// When a read of the configuration failed last, in ms; 0 before the first failure.
     read_failed: AtomicU64,
+    /// Whether this host reaches the targets of each service.
+    reach: Mutex<HashMap<PoolId, Reach>>,
     sampler: Mutex<Sampler>,
     silences: Mutex<SilenceDetector>,
     stopping: AtomicBool,
@@ -130,6 +134,7 @@
             eras: watch::Sender::new(0),
             proofs: watch::Sender::new(()),
             read_failed: AtomicU64::new(0),
+            reach: Mutex::default(),
             sampler: Mutex::default(),
             silences: Mutex::default(),
             stopping: AtomicBool::new(false),
@@ -213,6 +218,11 @@
         }
     }
 
+    /// Reads or changes what this host knows of its connections to a service.
+    pub(crate) fn reach<T>(&self, service: &PoolId, f: impl FnOnce(&mut Reach) -> T) -> T {
+        f(lock(&self.reach).entry(service.clone()).or_default())
+    }
+
     /// State of choosing the host of the failure domain that reads the store.
     pub(crate) fn store_readers(&self) -> MutexGuard<'_, StoreReaders> {
         lock(&self.store_readers)
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -18,6 +18,7 @@
 mod choose;
 mod composer;
 mod core;
+mod dial;
 mod dialect;
 mod directory;
 mod evacuate;
--- a/crates/edge/src/send.rs
+++ b/crates/edge/src/send.rs
@@ -11,6 +11,7 @@
 use thiserror::Error;
 
 use crate::core::Core;
+use crate::dial::dial;
 use crate::dialect::ResponseHead;
 use crate::gate::{self, BlockReason};
 use crate::links::{Link, OpenRequest};
@@ -141,11 +142,11 @@
     let (Wait::Fixed(within) | Wait::Running { within, .. }) = wait;
     let (begun, lost) = (core.clock.now(), core.pauses.lost());
     let end = begun + within;
-    let mut conn = connect(link, ConnPolicy::Reuse).await?;
+    let mut conn = connect(core, link, ConnPolicy::Reuse).await?;
     gate::admit(core, link).map_err(SendFault::Blocked)?;
     let mut result = conn.send(build().map(full), end - core.clock.now()).await;
     if let Err(LinkError::Unsent) = result {
-        conn = connect(link, ConnPolicy::New).await?;
+        conn = connect(core, link, ConnPolicy::New).await?;
         gate::admit(core, link).map_err(SendFault::Blocked)?;
         result = conn.send(build().map(full), end - core.clock.now()).await;
     }
@@ -173,6 +174,13 @@
     Ok(Answered { head, parts, body, lease })
 }
 
-async fn connect(link: &Link, fresh: ConnPolicy) -> Result<Conn, SendFault> {
-    link.pool.get(fresh).await.map_err(|_| SendFault::NoConnection)
+async fn connect(core: &Core, link: &Arc<Link>, policy: ConnPolicy) -> Result<Conn, SendFault> {
+    let idle = match policy {
+        ConnPolicy::Reuse => link.pool.idle(),
+        ConnPolicy::New => None,
+    };
+    match idle {
+        Some(conn) => Ok(conn),
+        None => dial(core, link).await.ok_or(SendFault::NoConnection),
+    }
 }
--- a/crates/link/src/client.rs
+++ b/crates/link/src/client.rs
@@ -10,6 +10,7 @@
 use std::pin::Pin;
 use std::sync::{Mutex, PoisonError};
 use std::time::Instant;
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
@@ -76,12 +77,24 @@
 
     /// Returns a connection that is ready for a request.
     pub async fn get(&self, policy: ConnPolicy) -> Result<Conn, LinkError> {
-        match self.take_idle() {
+        match self.idle() {
             Some(conn) if policy == ConnPolicy::Reuse => Ok(conn),
             _ => self.connect().await,
         }
     }
 
+    /// Opens a connection to the pool's address.
+    pub async fn connect(&self) -> Result<Conn, LinkError> {
+        let open = async {
+            let tcp = TcpStream::connect(self.addr).await.map_err(|_| LinkError::Connect)?;
+            // With Nagle's algorithm, small requests would wait for the peer's delayed
+            // acknowledgement.
+            tcp.set_nodelay(true).map_err(|_| LinkError::Connect)?;
+            Conn::over(tcp).await
+        };
+        timeout(self.config.connect_ms.duration(), open).await.map_err(|_| LinkError::Connect)?
+    }
+
     /// Returns a connection to the pool. Its response must have been read completely and be valid.
     pub fn put(&self, mut conn: Conn) {
         conn.reused = true;
@@ -97,7 +110,8 @@
         self.idle.lock().unwrap_or_else(PoisonError::into_inner).clear();
     }
 
-    fn take_idle(&self) -> Option<Conn> {
+    /// Takes an idle connection that can still be used, if there is one.
+    pub fn idle(&self) -> Option<Conn> {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let max_idle = self.config.idle_ms.duration();
         while let Some(conn) = idle.pop() {
@@ -107,27 +121,23 @@
         }
         None
     }
+}
 
-    async fn connect(&self) -> Result<Conn, LinkError> {
-        let open = async {
-            let tcp = TcpStream::connect(self.addr).await.map_err(|_| LinkError::Connect)?;
-            // With Nagle's algorithm, small requests would wait for the peer's delayed
-            // acknowledgement.
-            tcp.set_nodelay(true).map_err(|_| LinkError::Connect)?;
-            http1::handshake(TokioIo::new(tcp)).await.map_err(|_| LinkError::Connect)
-        };
-        let (sender, conn) = timeout(self.config.connect_ms.duration(), open)
-            .await
-            .map_err(|_| LinkError::Connect)??;
+impl Conn {
+    /// An HTTP connection over an open byte stream.
+    pub async fn over<S>(stream: S) -> Result<Self, LinkError>
+    where
+        S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
+    {
+        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let (sender, conn) = handshake.map_err(|_| LinkError::Connect)?;
         tokio::spawn(async move {
             // The error is also returned to the caller that waits for the response.
             let _ = conn.await;
         });
-        Ok(Conn { sender, head: None, reused: false, last_used: Instant::now() })
+        Ok(Self { sender, head: None, reused: false, last_used: Instant::now() })
     }
-}
 
-impl Conn {
     /// Sends a request and waits for the response's head, for at most `silence`.
     pub async fn send(
         &mut self,
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -13,6 +13,7 @@
 //! | [`directory`] | more subjects than requests for each of them | engines process prompts that another engine has just processed |
 //! | [`health`] | a target fails, is unreachable or is slow | it goes on getting work |
 //! | [`budget`] | targets fail and requests are retried | retries multiply the load on a service that is already failing |
+//! | [`reach`] | a host has lost its links to all targets of a service | it refuses what other hosts could serve |
 //! | [`poison`] | a request crashes every target that runs it | its retries take down one target after the other |
 //! | [`sample`] | a burst of ordinary successes | logging uses up the processor time |
 //! | [`assignment`] | a few large hosts among many small ones | a small host gets the work that one host does for all others |
@@ -35,6 +36,7 @@
 pub mod placement;
 pub mod poison;
 pub mod prefill;
+pub mod reach;
 pub mod retry_after;
 pub mod roster;
 pub mod sample;
