A host that has lost its links to targets connects to them through other hosts

The cut hosts refused with no_target what others could serve, and those that compose stage calls took their whole region with them.

Cause: a failed connection counts as the target's failure, whoever's link it was. The class: a judgement of one host about another party that only a third one can confirm.

Change: after a failed connection a host asks up to two others, in the background and once a second for each target, to connect to it. If one does, the host's own links are at fault: the target is pardoned, and new connections are tried both ways at once until its own way works again (sched::reach). The hosts asked are near the target first, those that could not help last (sched::detour); they open no second detour. Requests that are restricted to regions go through hosts of these regions only, and such a connection isn't shared. Only bytes take the other way: what runs once, retries, resumed streams and stages are decided as before.

Weighed: a host that says it isn't ready keeps its connected callers, and with two of three hosts of a domain cut all are used again; handing whole requests over needs a second account of attempts and time.

--- a/crates/edge/src/composer/call.rs
+++ b/crates/edge/src/composer/call.rs
@@ -1,6 +1,7 @@
 //! Sends one call to a stage target and reads its answer.
 
 use base::{Ms, TargetId};
+use catalog::Residency;
 use logs::note;
 use sched::batch::{CallEnd, CallId, Event, Piece, PieceEnd};
 use std::sync::Arc;
@@ -53,7 +54,11 @@
             self.core.dialect.stage_call(&call)
         };
         let wait = Wait::Running { within: timeout, most: Ms::MAX };
-        let answered = match send(&self.core, &link, NO_REQUEST_ID, wait, build).await {
+        let anywhere = Residency::Anywhere;
+        let residency = pieces.iter().map(|p| &p.residency);
+        let residency = residency.fold(anywhere, |all, piece| all.intersect(piece));
+        let sent = send(&self.core, &link, &residency, NO_REQUEST_ID, wait, build).await;
+        let answered = match sent {
             Ok(answered) => answered,
             Err(SendFault::Blocked(BlockReason::Limited(rest) | BlockReason::Paused(rest))) => {
                 return CallEnd::Deferred(rest);
--- a/crates/edge/src/composer/release.rs
+++ b/crates/edge/src/composer/release.rs
@@ -2,6 +2,7 @@
 //! them, and then counts their room as free.
 
 use base::{Ms, PoolId, TargetId};
+use catalog::Residency;
 use sched::batch::Event;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -73,9 +74,10 @@
         // results stay until their time to live ends.
         if let Some(link) = link.filter(|l| !l.limit().is_active()) {
             let build = || self.core.dialect.stage_free(link.name(), &handles);
+            let wait = Wait::Fixed(FREE_TIMEOUT);
             // If the call fails, the target drops the results when their time to live ends.
             if let Ok(answered) =
-                send(&self.core, &link, NO_REQUEST_ID, Wait::Fixed(FREE_TIMEOUT), build).await
+                send(&self.core, &link, &Residency::Anywhere, NO_REQUEST_ID, wait, build).await
             {
                 let read = link::read(answered.body, MAX_ANSWER_BYTES);
                 if let Ok(Ok(_)) = tokio::time::timeout(FREE_TIMEOUT.duration(), read).await {
--- a/crates/edge/src/composer/serve.rs
+++ b/crates/edge/src/composer/serve.rs
@@ -5,13 +5,14 @@
 use base::Ms;
 use peer::StageServer;
 use std::sync::Arc;
+use tokio::net::TcpStream;
 use wire::{
     HostNews, StageFree, StageLoads, StageResults, StageWork, StoreNews, StoreQuery, SubjectQuery,
     SubjectReaders,
 };
 
 use super::Composer;
-use crate::{notices, notify, shared};
+use crate::{dial, notices, notify, shared};
 
 /// Handler of other hosts' calls.
 pub(crate) struct StageService(pub(crate) Arc<Composer>);
@@ -50,4 +51,8 @@
     async fn store(&self, query: StoreQuery) -> StoreNews {
         shared::answer(&self.0.core, query).await
     }
+
+    async fn connect(&self, target: &str) -> Option<TcpStream> {
+        dial::serve(&self.0.core, target).await
+    }
 }
--- a/crates/edge/src/core.rs
+++ b/crates/edge/src/core.rs
@@ -10,6 +10,7 @@
 use catalog::{Catalog, Limits, Residency};
 use logs::note;
 use sched::budget::{Allowance, Past, RetryBudget};
+use sched::detour::Detours;
 use sched::directory::Directory;
 use sched::estimate::Estimate;
 use sched::poison::Poison;
@@ -71,6 +72,7 @@
     read_failed: AtomicU64,
     /// Whether this host reaches the targets of each service.
     reach: Mutex<HashMap<PoolId, Reach>>,
+    detours: Mutex<Detours>,
     sampler: Mutex<Sampler>,
     silences: Mutex<SilenceDetector>,
     stopping: AtomicBool,
@@ -135,6 +137,7 @@
             proofs: watch::Sender::new(()),
             read_failed: AtomicU64::new(0),
             reach: Mutex::default(),
+            detours: Mutex::default(),
             sampler: Mutex::default(),
             silences: Mutex::default(),
             stopping: AtomicBool::new(false),
@@ -223,6 +226,11 @@
         f(lock(&self.reach).entry(service.clone()).or_default())
     }
 
+    /// Hosts that could not connect to a target for this one.
+    pub(crate) fn detours(&self) -> MutexGuard<'_, Detours> {
+        lock(&self.detours)
+    }
+
     /// State of choosing the host of the failure domain that reads the store.
     pub(crate) fn store_readers(&self) -> MutexGuard<'_, StoreReaders> {
         lock(&self.store_readers)
--- a/crates/edge/src/dial.rs
+++ b/crates/edge/src/dial.rs
@@ -1,35 +1,158 @@
-//! Opens connections to targets, and finds out from them whether this host reaches a service.
+//! Opens connections to targets: this host's own, and, while it can't reach a service, connections
+//! through other hosts that can.
+//!
+//! A host that has lost its links to the targets still has callers, the store and the other hosts.
+//! What it decides stays here; only the bytes take another way. So a request runs once, its stream
+//! is resumed, its retries are counted and its stages are composed as without the cut.
 
+use base::{Ms, TargetId};
+use catalog::Residency;
+use futures::future::{Either, select};
 use link::Conn;
 use logs::note;
-use sched::reach::ReachEvent;
+use peer::ViewHost;
+use sched::detour::Place;
+use sched::reach::{Reach, ReachEvent};
 use std::sync::Arc;
+use tokio::net::TcpStream;
 
 use crate::core::Core;
 use crate::links::Link;
 
-/// Opens a connection to a target; none if it can't be reached.
-pub(crate) async fn dial(core: &Core, link: &Arc<Link>) -> Option<Conn> {
-    direct(core, link).await
+/// A new connection to a target.
+pub(crate) struct Dialed {
+    /// The connection.
+    pub(crate) conn: Conn,
+    /// Whether other requests may use it later. One through another region may not: they may be
+    /// restricted to certain regions.
+    pub(crate) poolable: bool,
 }
 
-/// Opens a connection of this host's own.
-async fn direct(core: &Core, link: &Arc<Link>) -> Option<Conn> {
-    let conn = link.pool.connect().await.ok();
-    let (now, service) = (core.clock.now(), &link.entry.service);
-    let known = core.links().of(service).len();
-    let event = match conn {
-        Some(_) => core.reach(service, |reach| reach.opened()),
-        None => core.reach(service, |reach| reach.failed(now, &link.entry.id, known)),
+/// Opens a connection to a target for requests that are restricted to `residency`; none if the
+/// target can't be reached.
+pub(crate) async fn dial(
+    core: &Arc<Core>,
+    link: &Arc<Link>,
+    residency: &Residency,
+) -> Option<Dialed> {
+    if !reach(core, link, |reach, now, id| reach.needs_detour(now, id)) {
+        return direct(core, link).await;
+    }
+    // Its own way is tried each time, so that the detour ends with the cut.
+    let direct = std::pin::pin!(direct(core, link));
+    let detour = std::pin::pin!(through_host(core, link, residency));
+    match select(direct, detour).await {
+        Either::Left((None, detour)) => detour.await,
+        Either::Right((None, direct)) => direct.await,
+        Either::Left((dialed, _)) | Either::Right((dialed, _)) => dialed,
+    }
+}
+
+fn reach<T>(core: &Core, link: &Link, f: impl FnOnce(&mut Reach, Ms, &TargetId) -> T) -> T {
+    let now = core.clock.now();
+    core.reach(&link.entry.service, |reach| f(reach, now, &link.entry.id))
+}
+
+async fn direct(core: &Arc<Core>, link: &Arc<Link>) -> Option<Dialed> {
+    let Some(tcp) = open(core, link).await else {
+        if reach(core, link, Reach::failed) {
+            tokio::spawn(ask_others(core.clone(), link.clone()));
+        }
+        return None;
     };
+    let conn = Conn::over(tcp).await.ok()?;
+    Some(Dialed { conn, poolable: true })
+}
+
+/// Opens a stream of this host's own.
+async fn open(core: &Core, link: &Link) -> Option<TcpStream> {
+    let tcp = link.pool.open().await.ok()?;
+    let event = reach(core, link, Reach::opened);
+    note_change(core, link, event);
+    Some(tcp)
+}
+
+/// Asks other hosts to connect to a target that this host could not connect to. The request that
+/// found it goes on elsewhere meanwhile: mostly the target is down.
+async fn ask_others(core: Arc<Core>, link: Arc<Link>) {
+    let Some(Dialed { conn, poolable }) = through_host(&core, &link, &Residency::Anywhere).await
+    else {
+        return;
+    };
+    // What the failures seemed to tell of the target was due to this host's links.
+    link.pardon();
+    if poolable {
+        link.pool.put(conn);
+    }
+}
+
+fn note_change(core: &Core, link: &Link, event: Option<ReachEvent>) {
+    let service = &link.entry.service;
     match event {
         None => {}
         Some(ReachEvent::Lost) => {
-            note!(logs::Event::ServiceUnreachable, service = %service, target = link.name(), known);
+            note!(logs::Event::ServiceUnreachable, service = %service, target = link.name());
         }
         Some(ReachEvent::Regained) => {
             note!(logs::Event::ServiceReachable, service = %service, target = link.name());
+            // Connections through other hosts are given up.
+            core.links().of(service).iter().for_each(|l| l.pool.clear());
+        }
+    }
+}
+
+/// Opens a connection through one of the hosts that may pass the request on.
+async fn through_host(core: &Core, link: &Arc<Link>, residency: &Residency) -> Option<Dialed> {
+    let target = link.incarnation();
+    let service = link.entry.service.as_str();
+    for host in hosts(core, link, residency) {
+        match core.members.peers().tunnel(host.address, target.as_str()).await {
+            Ok(tunnel) => {
+                core.metrics.tunnel(service, "opened");
+                let event = reach(core, link, Reach::detoured);
+                note_change(core, link, event);
+                let settings = core.settings();
+                let poolable =
+                    settings.region_of(&host.domain) == settings.region_of(&link.entry.domain);
+                let conn = Conn::over(tunnel).await.ok()?;
+                return Some(Dialed { conn, poolable });
+            }
+            Err(err) => {
+                core.metrics.tunnel(service, "failed");
+                core.detours().failed(core.clock.now(), &host.host);
+                note!(logs::Event::PeerFailed, host = %host.host, call = "tunnel", why = %err);
+            }
         }
     }
-    conn
+    let event = reach(core, link, Reach::down);
+    note_change(core, link, event);
+    None
+}
+
+/// The hosts that are asked for a connection, in this order.
+fn hosts(core: &Core, link: &Link, residency: &Residency) -> Vec<ViewHost> {
+    let now = core.clock.now();
+    let settings = core.settings();
+    let all = core.members.hosts();
+    let target_region = settings.region_of(&link.entry.domain);
+    let place = |host: &ViewHost| match settings.region_of(&host.domain) {
+        _ if host.domain == link.entry.domain => Some(Place::Domain),
+        region if region == target_region => Some(Place::Region),
+        region => residency.allows_place(region).then_some(Place::Far),
+    };
+    let others = all.iter().filter(|h| h.host != *core.members.me());
+    let candidates = others.filter_map(|h| Some((h, &h.host, place(h)?)));
+    let chosen = core.detours().choose(now, link.name(), candidates);
+    chosen.into_iter().cloned().collect()
+}
+
+/// Opens a connection to a target for another host that can't reach it. There is no further detour:
+/// hosts that are cut off would pass it among themselves.
+pub(crate) async fn serve(core: &Core, target: &str) -> Option<TcpStream> {
+    let link = core.incarnation(target)?;
+    let closed = link.is_leaving() || core.links().evacuated(&link.entry.domain);
+    match closed || reach(core, &link, |reach, now, id| reach.is_lost(now, id)) {
+        true => None,
+        false => open(core, &link).await,
+    }
 }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -8,6 +8,7 @@
 //!                        |          ^
 //!                        v          |
 //!                     stages -> composer (this host's or a peer's) -> links -> stage target
+//! links: connections are opened by dial, where need be through another host
 //! follow: Directory -> catalog and registry <- source: another host, which reads the store
 //! members: peers over tarpc
 //! ```
--- a/crates/edge/src/links.rs
+++ b/crates/edge/src/links.rs
@@ -120,12 +120,18 @@
         match outcome {
             // It may have been restarted, and be cold before its new registration is known.
             Outcome::NoConnection | Outcome::Broken | Outcome::Silent => {
-                self.warmup().cold_until(now + self.rejoin_time);
+                self.warmup().suspect_until(now + self.rejoin_time);
             }
             Outcome::Good(_) | Outcome::Failed | Outcome::Full => {}
         }
     }
 
+    /// Forgets failures that were due to this host's own links.
+    pub(crate) fn pardon(&self) {
+        self.health().pardon();
+        self.warmup().clear_suspicion();
+    }
+
     /// Sets the load that it reported.
     pub(crate) fn set_load(&self, now: Ms, load: Load) {
         *self.load.lock().unwrap_or_else(PoisonError::into_inner) = Some((now, load));
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -25,6 +25,7 @@
     errors: Histogram<u64>,
     calls: Histogram<u64>,
     passed: Counter<u64>,
+    tunnels: Counter<u64>,
     connections: Counter<u64>,
     store: Counter<u64>,
     restored: Counter<u64>,
@@ -53,6 +54,7 @@
             errors: meter.u64_histogram("edge_prediction_error_ms").build(),
             calls: meter.u64_histogram("edge_call_pieces").build(),
             passed: meter.u64_counter("edge_passed_on").build(),
+            tunnels: meter.u64_counter("edge_tunnels").build(),
             store: meter.u64_counter("edge_store_calls").build(),
             restored: meter.u64_counter("edge_store_restored").build(),
             era: meter.u64_gauge("edge_store_era").build(),
@@ -139,6 +141,12 @@
         self.passed.add(1, &[KeyValue::new("service", service.to_owned())]);
     }
 
+    /// Counts a connection to a target of a service through another host: `opened` or `failed`.
+    pub(crate) fn tunnel(&self, service: &str, result: &'static str) {
+        let service = KeyValue::new("service", service.to_owned());
+        self.tunnels.add(1, &[service, KeyValue::new("result", result)]);
+    }
+
     /// Records a time for which this host did not run.
     pub(crate) fn paused(&self, pause: Ms) {
         self.pauses.record(pause.0, &[]);
--- a/crates/edge/src/plain.rs
+++ b/crates/edge/src/plain.rs
@@ -44,7 +44,7 @@
 }
 
 /// Runs a request and returns the response to the caller.
-pub(crate) async fn run(core: &Core, call: &Call) -> Response<ResponseBody> {
+pub(crate) async fn run(core: &Arc<Core>, call: &Call) -> Response<ResponseBody> {
     let idempotent = call.route.retry_safety.is_idempotent();
     let mut tried: Vec<Arc<Link>> = Vec::new();
     let (mut sends, mut runs, mut failed) = (0, 0, None);
@@ -116,11 +116,11 @@
     );
 }
 
-async fn attempt(core: &Core, call: &Call, link: &Arc<Link>, timeout: Ms) -> Attempt {
+async fn attempt(core: &Arc<Core>, call: &Call, link: &Arc<Link>, timeout: Ms) -> Attempt {
     let (started, lost) = (core.clock.now(), core.pauses.lost());
     let wait = Wait::Running { within: timeout, most: call.left(started) };
     let build = || call.target_request(headers(core, call, link, &[], call.head.last_event, None));
-    let result = send(core, link, &call.head.id, wait, build).await;
+    let result = send(core, link, &call.residency, &call.head.id, wait, build).await;
     let answered = match result {
         Ok(answered) => answered,
         Err(fault) => return attempt_failed(core, call, link, fault),
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -213,7 +213,7 @@
             call.target_request(headers(core, call, &link, inputs, last, fetch))
         };
         let wait = Wait::Running { within: wait, most: left };
-        let result = send(core, &link, &call.head.id, wait, build).await;
+        let result = send(core, &link, &call.residency, &call.head.id, wait, build).await;
         self.sends += u32::from(!matches!(result, Err(SendFault::Blocked(_))));
         match result {
             Ok(answered) => self.handle_answer(link, now, was_idle, answered).await,
--- a/crates/edge/src/send.rs
+++ b/crates/edge/src/send.rs
@@ -2,16 +2,17 @@
 
 use base::Ms;
 use bytes::Bytes;
+use catalog::Residency;
 use hyper::Request;
 use hyper::body::Incoming;
 use hyper::http::response::Parts;
-use link::{Conn, ConnPolicy, LinkError, full};
+use link::{ConnPolicy, LinkError, full};
 use sched::health::Outcome;
 use std::sync::Arc;
 use thiserror::Error;
 
 use crate::core::Core;
-use crate::dial::dial;
+use crate::dial::{Dialed, dial};
 use crate::dialect::ResponseHead;
 use crate::gate::{self, BlockReason};
 use crate::links::{Link, OpenRequest};
@@ -69,7 +70,7 @@
 /// connection is closed and the target stops working on the request.
 pub(crate) struct Lease {
     link: Arc<Link>,
-    conn: Conn,
+    dialed: Dialed,
     keep: Option<Ms>,
     _open: OpenRequest,
 }
@@ -80,7 +81,8 @@
         match self.keep {
             // The target is about to close it: a request on it would be lost.
             Some(keep) if keep < MIN_KEEP_ALIVE => {}
-            _ => self.link.pool.put(self.conn),
+            _ if !self.dialed.poolable => {}
+            _ => self.link.pool.put(self.dialed.conn),
         }
     }
 }
@@ -112,16 +114,18 @@
     },
 }
 
-/// Sends a request and waits for the head of its answer. `build` is called once there
-/// is a connection, so that the remaining time that it writes into the request is right.
+/// Sends a request, which may be processed within `residency`, and waits for the head of its answer.
+/// `build` is called once there is a connection, so that the remaining time that it writes into the
+/// request is right.
 pub(crate) async fn send(
-    core: &Core,
+    core: &Arc<Core>,
     link: &Arc<Link>,
+    residency: &Residency,
     id: &str,
     wait: Wait,
     build: impl Fn() -> Request<Bytes>,
 ) -> Result<Answered, SendFault> {
-    let result = attempt(core, link, id, wait, build).await;
+    let result = attempt(core, link, residency, id, wait, build).await;
     if matches!(result, Err(SendFault::Silent)) {
         core.record_silence(link);
     }
@@ -132,8 +136,9 @@
 }
 
 async fn attempt(
-    core: &Core,
+    core: &Arc<Core>,
     link: &Arc<Link>,
+    residency: &Residency,
     id: &str,
     wait: Wait,
     build: impl Fn() -> Request<Bytes>,
@@ -142,19 +147,19 @@
     let (Wait::Fixed(within) | Wait::Running { within, .. }) = wait;
     let (begun, lost) = (core.clock.now(), core.pauses.lost());
     let end = begun + within;
-    let mut conn = connect(core, link, ConnPolicy::Reuse).await?;
+    let mut dialed = connect(core, link, residency, ConnPolicy::Reuse).await?;
     gate::admit(core, link).map_err(SendFault::Blocked)?;
-    let mut result = conn.send(build().map(full), end - core.clock.now()).await;
+    let mut result = dialed.conn.send(build().map(full), end - core.clock.now()).await;
     if let Err(LinkError::Unsent) = result {
-        conn = connect(core, link, ConnPolicy::New).await?;
+        dialed = connect(core, link, residency, ConnPolicy::New).await?;
         gate::admit(core, link).map_err(SendFault::Blocked)?;
-        result = conn.send(build().map(full), end - core.clock.now()).await;
+        result = dialed.conn.send(build().map(full), end - core.clock.now()).await;
     }
     if let (Err(LinkError::Silent), Wait::Running { most, .. }) = (&result, wait) {
         let paused = core.pauses.lost() - lost;
         let rest = paused.min(within).min(begun + most - core.clock.now());
         if rest > Ms::ZERO {
-            result = conn.wait(rest).await;
+            result = dialed.conn.wait(rest).await;
         }
     }
     let response = result.map_err(|err| match err {
@@ -170,17 +175,22 @@
         return Err(SendFault::Mismatch);
     }
     notices::apply(core, link, &parts, &head);
-    let lease = Lease { link: link.clone(), conn, keep: head.keep_alive, _open: open };
+    let lease = Lease { link: link.clone(), dialed, keep: head.keep_alive, _open: open };
     Ok(Answered { head, parts, body, lease })
 }
 
-async fn connect(core: &Core, link: &Arc<Link>, policy: ConnPolicy) -> Result<Conn, SendFault> {
+async fn connect(
+    core: &Arc<Core>,
+    link: &Arc<Link>,
+    residency: &Residency,
+    policy: ConnPolicy,
+) -> Result<Dialed, SendFault> {
     let idle = match policy {
         ConnPolicy::Reuse => link.pool.idle(),
         ConnPolicy::New => None,
     };
     match idle {
-        Some(conn) => Ok(conn),
-        None => dial(core, link).await.ok_or(SendFault::NoConnection),
+        Some(conn) => Ok(Dialed { conn, poolable: true }),
+        None => dial(core, link, residency).await.ok_or(SendFault::NoConnection),
     }
 }
--- a/crates/link/src/client.rs
+++ b/crates/link/src/client.rs
@@ -83,16 +83,17 @@
         }
     }
 
-    /// Opens a connection to the pool's address.
-    pub async fn connect(&self) -> Result<Conn, LinkError> {
-        let open = async {
-            let tcp = TcpStream::connect(self.addr).await.map_err(|_| LinkError::Connect)?;
-            // With Nagle's algorithm, small requests would wait for the peer's delayed
-            // acknowledgement.
-            tcp.set_nodelay(true).map_err(|_| LinkError::Connect)?;
-            Conn::over(tcp).await
-        };
-        timeout(self.config.connect_ms.duration(), open).await.map_err(|_| LinkError::Connect)?
+    async fn connect(&self) -> Result<Conn, LinkError> {
+        Conn::over(self.open().await?).await
+    }
+
+    /// Opens a stream to the pool's address.
+    pub async fn open(&self) -> Result<TcpStream, LinkError> {
+        let open = timeout(self.config.connect_ms.duration(), TcpStream::connect(self.addr));
+        let tcp = open.await.map_err(|_| LinkError::Connect)?.map_err(|_| LinkError::Connect)?;
+        // With Nagle's algorithm, small requests would wait for the peer's delayed acknowledgement.
+        tcp.set_nodelay(true).map_err(|_| LinkError::Connect)?;
+        Ok(tcp)
     }
 
     /// Returns a connection to the pool. Its response must have been read completely and be valid.
--- a/crates/peer/src/api.rs
+++ b/crates/peer/src/api.rs
@@ -4,12 +4,13 @@
 use base::{DomainId, HostId, Ms};
 use std::net::SocketAddr;
 use std::sync::Arc;
+use tokio::net::TcpStream;
 use wire::{
     Claim, Exchange, Finish, Grant, HostNews, StageFree, StageLoads, StageResults, StageWork,
     StoreNews, StoreQuery, SubjectQuery, SubjectReaders,
 };
 
-use crate::PeerError;
+use crate::{PeerError, Tunnel};
 
 /// Calls other hosts.
 #[async_trait]
@@ -106,6 +107,10 @@
     /// Asks what a host knows of the platform's store. The answer comes once there is something
     /// new, and after `query.wait_ms` at the latest.
     async fn store(&self, to: SocketAddr, query: StoreQuery) -> Result<StoreNews, PeerError>;
+
+    /// Asks a host for a connection to a target, given by the id of its incarnation, within the time
+    /// that a call may take.
+    async fn tunnel(&self, to: SocketAddr, target: &str) -> Result<Tunnel, PeerError>;
 }
 
 /// Composes stage calls for other hosts.
@@ -129,4 +134,8 @@
     /// Returns what this host knows of the platform's store, once there is something that the
     /// caller lacks, and after `query.wait_ms` at the latest.
     async fn store(&self, query: StoreQuery) -> StoreNews;
+
+    /// Opens a connection to a target for another host that can't reach it. None if this host can't
+    /// reach it either, or doesn't know this incarnation.
+    async fn connect(&self, target: &str) -> Option<TcpStream>;
 }
--- a/crates/peer/src/client.rs
+++ b/crates/peer/src/client.rs
@@ -19,7 +19,7 @@
 };
 
 use crate::listener::{MAX_FRAME_BYTES, PeerServiceClient};
-use crate::{PeerError, Peers, StagePeers};
+use crate::{PeerError, Peers, StagePeers, Tunnel, tunnel};
 
 /// A connection without a call for this long isn't reused, ms. A device between the two ends may
 /// have lost track of the connection, and the first call on it would be lost. A host calls each of
@@ -304,4 +304,9 @@
         };
         self.call_within(to, within, call).await?.ok_or(PeerError::Refused)
     }
+
+    async fn tunnel(&self, to: SocketAddr, target: &str) -> Result<Tunnel, PeerError> {
+        let open = tunnel::open(to, target);
+        timeout(self.call_timeout.duration(), open).await.map_err(|_| PeerError::Silent)?
+    }
 }
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -8,9 +8,11 @@
 mod error;
 mod listener;
 mod size;
+mod tunnel;
 
 pub use api::{Claims, PeerHandler, Peers, StagePeers, StageServer, View, ViewHost};
 pub use client::PeerClient;
 pub use error::PeerError;
 pub use listener::{BoundListener, Listener};
 pub use size::{answer_bytes, call_bytes};
+pub use tunnel::Tunnel;
--- a/crates/peer/src/listener.rs
+++ b/crates/peer/src/listener.rs
@@ -13,18 +13,22 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
 use tokio::task::{JoinHandle, JoinSet};
+use tokio::time::timeout;
 use wire::{
     Claim, Exchange, Finish, Grant, HostNews, StageFree, StageLoads, StageResults, StageWork,
     StoreNews, StoreQuery, SubjectQuery, SubjectReaders,
 };
 
-use crate::PeerHandler;
+use crate::{PeerHandler, tunnel};
 
 /// Largest message in either direction, bytes. A full exchange carries the configuration, up to a
 /// megabyte. Both ends use the same limit; otherwise one would send frames that the other rejects.
 pub(crate) const MAX_FRAME_BYTES: usize = 4 << 20;
 /// Most connections from other hosts that are served at once.
 const MAX_CONNECTIONS: usize = 1024;
+/// Most connections to targets that are kept open for other hosts at once. Each takes two
+/// descriptors and some 50 KB, so this many fit beside a small host's own work.
+const MAX_TUNNELS: usize = 256;
 /// A connection without a call for this long is closed, ms. Callers close theirs sooner; a
 /// connection that stays open longer belongs to a host that is gone and would otherwise occupy its
 /// slot for good.
@@ -182,6 +186,7 @@
 
 async fn accept(listener: TcpListener, handler: Arc<dyn PeerHandler>) {
     let permits = Arc::new(Semaphore::new(MAX_CONNECTIONS));
+    let tunnels = Arc::new(Semaphore::new(MAX_TUNNELS));
     // Dropped with this task, which closes the connections.
     let mut open = JoinSet::new();
     loop {
@@ -196,16 +201,33 @@
         let Ok(permit) = permits.clone().try_acquire_owned() else { continue };
         let server =
             Server { handler: handler.clone(), last_call: Arc::new(Mutex::new(Instant::now())) };
+        let tunnels = tunnels.clone();
         open.spawn(async move {
-            connection(tcp, server).await;
+            connection(tcp, server, &tunnels).await;
             drop(permit);
         });
     }
 }
 
-async fn connection(tcp: TcpStream, server: Server) {
+async fn connection(tcp: TcpStream, server: Server, tunnels: &Semaphore) {
     // Without TCP_NODELAY the connection is only slower.
     let _ = tcp.set_nodelay(true);
+    match timeout(IDLE_MS.duration(), tunnel::is_requested(&tcp)).await {
+        Ok(true) => serve_tunnel(tcp, &server, tunnels).await,
+        Ok(false) => serve_calls(tcp, server).await,
+        Err(_) => {}
+    }
+}
+
+/// Serves a tunnel. A host with too many of them refuses by closing the connection.
+async fn serve_tunnel(tcp: TcpStream, server: &Server, tunnels: &Semaphore) {
+    let Ok(_permit) = tunnels.try_acquire() else { return };
+    let Some(stages) = server.handler.stages() else { return };
+    // The other host sees from its end of the connection that it broke.
+    let _ = tunnel::serve(tcp, stages).await;
+}
+
+async fn serve_calls(tcp: TcpStream, server: Server) {
     let frames = LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_framed(tcp);
     let transport = tarpc::serde_transport::new(frames, Bincode::default());
     let requests = BaseChannel::with_defaults(transport).execute(server.clone().serve());
--- a/crates/sched/src/health.rs
+++ b/crates/sched/src/health.rs
@@ -83,6 +83,11 @@
         }
     }
 
+    /// Ends an ejection: the failures were due to this host's own links.
+    pub fn pardon(&mut self) {
+        self.recover();
+    }
+
     /// Whether the target may get a request now: it is not ejected, or its trial request is due.
     pub fn usable(&self, now: Ms) -> bool {
         match self.ejected {
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -14,6 +14,7 @@
 //! | [`health`] | a target fails, is unreachable or is slow | it goes on getting work |
 //! | [`budget`] | targets fail and requests are retried | retries multiply the load on a service that is already failing |
 //! | [`reach`] | a host has lost its links to all targets of a service | it refuses what other hosts could serve |
+//! | [`detour`] | a host that is cut off needs a way through others | it waits for hosts that are cut off too |
 //! | [`poison`] | a request crashes every target that runs it | its retries take down one target after the other |
 //! | [`sample`] | a burst of ordinary successes | logging uses up the processor time |
 //! | [`assignment`] | a few large hosts among many small ones | a small host gets the work that one host does for all others |
@@ -27,6 +28,7 @@
 pub mod assignment;
 pub mod batch;
 pub mod budget;
+pub mod detour;
 pub mod directory;
 pub mod estimate;
 pub mod evacuation;
--- a/crates/sched/src/warmup.rs
+++ b/crates/sched/src/warmup.rs
@@ -69,6 +69,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct WarmupState {
     until: Ms,
+    /// Until when it may be cold because it may have been restarted.
+    suspected: Ms,
     sent: VecDeque<Ms>,
 }
 
@@ -78,9 +80,19 @@
         self.until = self.until.max(until);
     }
 
+    /// Treats the target as cold until at least `until`, because it may have been restarted.
+    pub fn suspect_until(&mut self, until: Ms) {
+        self.suspected = self.suspected.max(until);
+    }
+
+    /// Drops the suspicion: what it rests on has another cause.
+    pub fn clear_suspicion(&mut self) {
+        self.suspected = Ms::ZERO;
+    }
+
     /// Time for which the target remains cold; zero if it is warm.
     pub fn remaining(&self, now: Ms) -> Ms {
-        self.until - now
+        self.until.max(self.suspected) - now
     }
 
     /// Whether a request may be sent now if this host's share is `share` requests a second.
