A composer hears of the number of hosts as soon as it begins

Stage targets would get the whole fleet's slack of retries from each composer whose batcher was made after the last change of targets or configuration, as it takes itself for the only host.

Cause: a batcher was told of the live hosts only on such a change.

--- a/crates/edge/src/composer/mod.rs
+++ b/crates/edge/src/composer/mod.rs
@@ -167,11 +167,17 @@
             Arc::new(Service { name: name.clone(), state: Mutex::new(state), wake: Notify::new() });
         services.insert(name.clone(), service.clone());
         drop(services);
-        self.feed(&service, Event::Targets(self.target_infos(name)));
+        self.refresh(&service);
         tokio::spawn(self.clone().drive(service.clone()));
         Some(service)
     }
 
+    /// Passes a batcher its targets and the number of live hosts, which share its slack of retries.
+    fn refresh(self: &Arc<Self>, service: &Arc<Service>) {
+        self.feed(service, Event::Hosts(self.core.members.hosts().len()));
+        self.feed(service, Event::Targets(self.target_infos(&service.name)));
+    }
+
     /// Targets of a service that this host composes calls for: those of its own region, and those
     /// of regions where no other host composes for them. If its own region has targets, the ones
     /// elsewhere are reserved for pieces that may not be made in any nearer region.
@@ -215,16 +221,12 @@
                     self.feed(&service, Event::Tick);
                 }
                 () = service.wake.notified() => {}
-                _ = refresh.tick() => {
-                    self.feed(&service, Event::Targets(self.target_infos(&service.name)));
-                }
+                _ = refresh.tick() => self.refresh(&service),
                 Ok(()) = changed.changed() => {
                     if let Some(batch) = self.batch_config(&service.name) {
                         self.feed(&service, Event::Config(batch));
                     }
-                    self.feed(&service, Event::Targets(self.target_infos(&service.name)));
-                    let hosts = self.core.members.hosts().len();
-                    self.feed(&service, Event::Hosts(hosts));
+                    self.refresh(&service);
                 }
             }
         }
