--- a/crates/peer/src/listener.rs
+++ b/crates/peer/src/listener.rs
@@ -27,7 +27,7 @@
 /// Most connections from other hosts that are served at once.
 const MAX_CONNECTIONS: usize = 1024;
 /// Most connections to targets that are kept open for other hosts at once. Each takes two
-/// descriptors and some 50 KB, so this many fit beside a small host's own work.
+/// descriptors and buffers of 32 KB, so all together 8 MB: they fit beside a small host's own work.
 const MAX_TUNNELS: usize = 256;
 /// A connection without a call for this long is closed, ms. Callers close theirs sooner; a
 /// connection that stays open longer belongs to a host that is gone and would otherwise occupy its
--- a/crates/sched/tests/budget.rs
+++ b/crates/sched/tests/budget.rs
@@ -1,4 +1,4 @@
-//! Tests of the retry budget of a fleet whose hosts are restarted.
+//! Tests of the retry budget: the shares of hosts, and of hosts that are restarted.
 
 use base::{Ms, PoolId};
 use sched::budget::{Allowance, Past, RetryBudget};
@@ -90,3 +90,105 @@
         assert!(most as f64 >= 0.7 * allowed, "{most} retries in a window, allowed {allowed}");
     }
 }
+
+fn service() -> PoolId {
+    PoolId::from("register")
+}
+
+// Guards against overloading a service that is nearly full: when its targets fail, each host would
+// use the fleet's whole slack of retries for itself. A host spends the ratio of its own requests
+// and its share of the slack.
+#[test]
+fn the_shares_of_all_hosts_stay_within_the_fleets_budget() {
+    let allowance = Allowance { ratio: 0.2, slack: 52.0, window: Ms(10_000) };
+    let mut spent = 0;
+    for _ in 0..6 {
+        let mut budget = RetryBudget::new(allowance, Past::None);
+        budget.hosts(6);
+        for _ in 0..20 {
+            budget.request(Ms(0), &service());
+        }
+        spent += (0..200).filter(|_| budget.take(Ms(10), &service())).count();
+    }
+    assert!(spent as f64 <= 0.2 * 120.0 + 52.0, "spent {spent}");
+    assert!(spent >= 40, "spent {spent}");
+}
+
+#[test]
+fn a_host_that_sees_fewer_others_spends_no_more() {
+    let allowance = Allowance { ratio: 0.0, slack: 60.0, window: Ms(10_000) };
+    let mut budget = RetryBudget::new(allowance, Past::None);
+    budget.hosts(6);
+    budget.hosts(1);
+    let spent = (0..100).filter(|_| budget.take(Ms(0), &service())).count();
+    assert_eq!(spent, 8);
+}
+
+#[test]
+fn retries_are_available_again_after_the_window() {
+    let allowance = Allowance { ratio: 0.0, slack: 10.0, window: Ms(1_000) };
+    let mut budget = RetryBudget::new(allowance, Past::None);
+    while budget.take(Ms(0), &service()) {}
+    assert!(!budget.take(Ms(1_000), &service()));
+    assert!(budget.take(Ms(1_001), &service()));
+}
+
+/// Requests that arrive between two times, of which one arrives every `REQUEST_INTERVAL` at each
+/// host, and [`Burst::FACTOR`] as many during a burst.
+struct Burst {
+    from: Ms,
+    to: Ms,
+}
+
+impl Burst {
+    const FACTOR: usize = 4;
+
+    fn requests(&self, now: Ms) -> usize {
+        if now >= self.from && now < self.to { Self::FACTOR } else { 1 }
+    }
+}
+
+/// Plays a burst with targets that fail from `failing` on. Returns when requests came and when they
+/// were retried.
+fn play_burst(burst: &Burst, failing: Ms) -> (Vec<Ms>, Vec<Ms>) {
+    let mut fleet: Vec<RetryBudget> =
+        (0..HOSTS).map(|_| RetryBudget::new(ALLOWANCE, Past::None)).collect();
+    fleet.iter_mut().for_each(|budget| budget.hosts(HOSTS));
+    let service = service();
+    let (mut requests, mut retries) = (Vec::new(), Vec::new());
+    for now in (0..END.0).step_by(REQUEST_INTERVAL as usize).map(Ms) {
+        for budget in &mut fleet {
+            for _ in 0..burst.requests(now) {
+                requests.push(now);
+                budget.request(now, &service);
+                let wanted = if now >= failing { RETRIES } else { 0 };
+                let taken = (0..wanted).take_while(|_| budget.take(now, &service)).count();
+                retries.extend(std::iter::repeat_n(now, taken));
+            }
+        }
+    }
+    (requests, retries)
+}
+
+// Guards against retries that were earned in a burst and are sent after it: of the requests of a
+// window, of the one before it and of the one half a window before it, the most count.
+#[test]
+fn retries_after_a_burst_stay_within_the_fleets_budget() {
+    let window = ALLOWANCE.window;
+    let within = |times: &[Ms], from: Ms, to: Ms| {
+        times.partition_point(|at| *at <= to) - times.partition_point(|at| *at < from)
+    };
+    for length in [1_000, 3_000, 6_000] {
+        let burst = Burst { from: Ms(20_000), to: Ms(20_000 + length) };
+        for failing in (20_000..38_000).step_by(1_000).map(Ms) {
+            let (requests, retries) = play_burst(&burst, failing);
+            for from in &retries {
+                let sent = within(&retries, *from, *from + window);
+                let starts = [*from, *from - window, *from - window.scale(1, 2)];
+                let counted = starts.iter().map(|at| within(&requests, *at, *at + window));
+                let allowed = ALLOWANCE.ratio * counted.max().unwrap() as f64 + ALLOWANCE.slack;
+                assert!(sent as f64 <= allowed, "{sent} retries from {from:?}, allowed {allowed}");
+            }
+        }
+    }
+}
--- a/crates/sched/tests/small.rs
+++ b/crates/sched/tests/small.rs
@@ -1,9 +1,8 @@
-//! Tests of the retry budget, poison detection, health, estimates, sampling and the delay before a
+//! Tests of poison detection, health, estimates, sampling and the delay before a
 //! retry.
 
 use base::{Ms, PoolId, TargetId};
 use catalog::{Backend, Batch, Residency, RetrySafety, Route, Stage};
-use sched::budget::{Allowance, Past, RetryBudget};
 use sched::estimate::Estimate;
 use sched::health::{Health, Outcome};
 use sched::poison::{POISON_THRESHOLD, Poison, RETENTION, Recipients, recipients};
@@ -14,44 +13,6 @@
     PoolId::from("register")
 }
 
-// Guards against overloading a service that is nearly full: when its targets fail, each host would
-// use the fleet's whole slack of retries for itself. A host spends the ratio of its own requests
-// and its share of the slack.
-#[test]
-fn the_shares_of_all_hosts_stay_within_the_fleets_budget() {
-    let allowance = Allowance { ratio: 0.2, slack: 52.0, window: Ms(10_000) };
-    let mut spent = 0;
-    for _ in 0..6 {
-        let mut budget = RetryBudget::new(allowance, Past::None);
-        budget.hosts(6);
-        for _ in 0..20 {
-            budget.request(Ms(0), &service());
-        }
-        spent += (0..200).filter(|_| budget.take(Ms(10), &service())).count();
-    }
-    assert!(spent as f64 <= 0.2 * 120.0 + 52.0, "spent {spent}");
-    assert!(spent >= 40, "spent {spent}");
-}
-
-#[test]
-fn a_host_that_sees_fewer_others_spends_no_more() {
-    let allowance = Allowance { ratio: 0.0, slack: 60.0, window: Ms(10_000) };
-    let mut budget = RetryBudget::new(allowance, Past::None);
-    budget.hosts(6);
-    budget.hosts(1);
-    let spent = (0..100).filter(|_| budget.take(Ms(0), &service())).count();
-    assert_eq!(spent, 8);
-}
-
-#[test]
-fn retries_are_available_again_after_the_window() {
-    let allowance = Allowance { ratio: 0.0, slack: 10.0, window: Ms(1_000) };
-    let mut budget = RetryBudget::new(allowance, Past::None);
-    while budget.take(Ms(0), &service()) {}
-    assert!(!budget.take(Ms(1_000), &service()));
-    assert!(budget.take(Ms(1_001), &service()));
-}
-
 // Guards against targets crashing one after the other, because one request brings down each target
 // that runs it and its caller sends it again through any host. Breaks at three different targets
 // make it a poison request; a second break at the same one doesn't count.
