A request that may take no detour doesn't blame the target

What callers would see: at a host that has lost its links to targets, a request that is restricted to a region finds no host to connect through. The target was then taken for down and ejected, also for requests that may go through others: 503 for a read that was served a moment before.

Cause: no way for this request counted as no way at all. Now only hosts that were asked for an unrestricted request tell that a target is down, and a target that others reach isn't recorded as failed.

--- a/crates/edge/src/dial.rs
+++ b/crates/edge/src/dial.rs
@@ -17,7 +17,9 @@
 use tokio::net::TcpStream;
 
 use crate::core::Core;
+use crate::gate::BlockReason;
 use crate::links::Link;
+use crate::send::SendFault;
 
 /// A new connection to a target.
 pub(crate) struct Dialed {
@@ -28,13 +30,21 @@
     pub(crate) poolable: bool,
 }
 
-/// Opens a connection to a target for requests that are restricted to `residency`; none if the
-/// target can't be reached.
+/// Opens a connection to a target for requests that are restricted to `residency`.
 pub(crate) async fn dial(
     core: &Arc<Core>,
     link: &Arc<Link>,
     residency: &Residency,
-) -> Option<Dialed> {
+) -> Result<Dialed, SendFault> {
+    match by_any_way(core, link, residency).await {
+        Some(dialed) => Ok(dialed),
+        // Others reach the target, so it isn't to blame.
+        None if is_lost(core, link) => Err(SendFault::Blocked(BlockReason::Unreachable)),
+        None => Err(SendFault::NoConnection),
+    }
+}
+
+async fn by_any_way(core: &Arc<Core>, link: &Arc<Link>, residency: &Residency) -> Option<Dialed> {
     if !reach(core, link, |reach, now, id| reach.needs_detour(now, id)) {
         return direct(core, link).await;
     }
@@ -53,6 +63,10 @@
     core.reach(&link.entry.service, |reach| f(reach, now, &link.entry.id))
 }
 
+fn is_lost(core: &Core, link: &Link) -> bool {
+    reach(core, link, |reach, now, id| reach.is_lost(now, id))
+}
+
 async fn direct(core: &Arc<Core>, link: &Arc<Link>) -> Option<Dialed> {
     let Some(tcp) = open(core, link).await else {
         if reach(core, link, Reach::failed) {
@@ -124,8 +138,11 @@
             }
         }
     }
-    let event = reach(core, link, Reach::down);
-    note_change(core, link, event);
+    // A request that may not pass through all hosts tells nothing of what these reach.
+    if *residency == Residency::Anywhere {
+        let event = reach(core, link, Reach::down);
+        note_change(core, link, event);
+    }
     None
 }
 
@@ -151,7 +168,7 @@
 pub(crate) async fn serve(core: &Core, target: &str) -> Option<TcpStream> {
     let link = core.incarnation(target)?;
     let closed = link.is_leaving() || core.links().evacuated(&link.entry.domain);
-    match closed || reach(core, &link, |reach, now, id| reach.is_lost(now, id)) {
+    match closed || is_lost(core, &link) {
         true => None,
         false => open(core, &link).await,
     }
--- a/crates/edge/src/gate.rs
+++ b/crates/edge/src/gate.rs
@@ -28,6 +28,8 @@
     Outside,
     /// The targets belong to evacuated failure domains.
     Evacuated,
+    /// This host reaches the target only through hosts of regions that the request may not be in.
+    Unreachable,
     /// The target has announced that it is shutting down.
     Leaving,
     /// The targets have rejected requests of this host, and want none for this time.
@@ -47,6 +49,7 @@
             Self::NoTarget => "no_target",
             Self::Outside => "outside",
             Self::Evacuated => "evacuated",
+            Self::Unreachable => "unreachable",
             Self::Leaving => "leaving",
             Self::Paused(_) => "paused",
             Self::Limited(_) => "limited",
--- a/crates/edge/src/refusal.rs
+++ b/crates/edge/src/refusal.rs
@@ -65,7 +65,9 @@
 impl From<BlockReason> for Reason {
     fn from(blocked: BlockReason) -> Self {
         match blocked {
-            BlockReason::NoTarget | BlockReason::Leaving => Self::NoTarget,
+            BlockReason::NoTarget | BlockReason::Unreachable | BlockReason::Leaving => {
+                Self::NoTarget
+            }
             BlockReason::Outside => Self::Outside,
             BlockReason::Evacuated => Self::Evacuated,
             BlockReason::Paused(wait) => Self::Paused(wait),
--- a/crates/edge/src/send.rs
+++ b/crates/edge/src/send.rs
@@ -191,6 +191,6 @@
     };
     match idle {
         Some(conn) => Ok(Dialed { conn, poolable: true }),
-        None => dial(core, link, residency).await.ok_or(SendFault::NoConnection),
+        None => dial(core, link, residency).await,
     }
 }
