--- a/crates/edge/src/composer/serve.rs
+++ b/crates/edge/src/composer/serve.rs
@@ -53,6 +53,6 @@
     }
 
     async fn connect(&self, target: &str) -> Option<TcpStream> {
-        dial::serve(&self.0.core, target).await
+        dial::open_for_peer(&self.0.core, target).await
     }
 }
--- a/crates/edge/src/dial.rs
+++ b/crates/edge/src/dial.rs
@@ -36,7 +36,7 @@
     link: &Arc<Link>,
     residency: &Residency,
 ) -> Result<Dialed, SendFault> {
-    match by_any_way(core, link, residency).await {
+    match either_way(core, link, residency).await {
         Some(dialed) => Ok(dialed),
         // Others reach the target, so it isn't to blame.
         None if is_lost(core, link) => Err(SendFault::Blocked(BlockReason::Unreachable)),
@@ -44,7 +44,8 @@
     }
 }
 
-async fn by_any_way(core: &Arc<Core>, link: &Arc<Link>, residency: &Residency) -> Option<Dialed> {
+/// Opens a connection directly, or through another host if links seem lost.
+async fn either_way(core: &Arc<Core>, link: &Arc<Link>, residency: &Residency) -> Option<Dialed> {
     if !reach(core, link, |reach, now, id| reach.needs_detour(now, id)) {
         return direct(core, link).await;
     }
@@ -67,6 +68,7 @@
     reach(core, link, |reach, now, id| reach.is_lost(now, id))
 }
 
+/// Opens a connection of this host's own. If it fails, others are asked in the background.
 async fn direct(core: &Arc<Core>, link: &Arc<Link>) -> Option<Dialed> {
     let Some(tcp) = open(core, link).await else {
         if reach(core, link, Reach::failed) {
@@ -94,7 +96,7 @@
         return;
     };
     // What the failures seemed to tell of the target was due to this host's links.
-    link.pardon();
+    link.reinstate();
     if poolable {
         link.pool.put(conn);
     }
@@ -146,7 +148,8 @@
     None
 }
 
-/// The hosts that are asked for a connection, in this order.
+/// The hosts that are asked for a connection, in this order. Those of the target's region are allowed
+/// for every request that the target is.
 fn hosts(core: &Core, link: &Link, residency: &Residency) -> Vec<ViewHost> {
     let now = core.clock.now();
     let settings = core.settings();
@@ -165,7 +168,7 @@
 
 /// Opens a connection to a target for another host that can't reach it. There is no further detour:
 /// hosts that are cut off would pass it among themselves.
-pub(crate) async fn serve(core: &Core, target: &str) -> Option<TcpStream> {
+pub(crate) async fn open_for_peer(core: &Core, target: &str) -> Option<TcpStream> {
     let link = core.incarnation(target)?;
     let closed = link.is_leaving() || core.links().evacuated(&link.entry.domain);
     match closed || is_lost(core, &link) {
--- a/crates/edge/src/links.rs
+++ b/crates/edge/src/links.rs
@@ -127,8 +127,8 @@
     }
 
     /// Forgets failures that were due to this host's own links.
-    pub(crate) fn pardon(&self) {
-        self.health().pardon();
+    pub(crate) fn reinstate(&self) {
+        self.health().reinstate();
         self.warmup().clear_suspicion();
     }
 
--- a/crates/peer/src/tunnel.rs
+++ b/crates/peer/src/tunnel.rs
@@ -1,7 +1,7 @@
 //! Byte streams to targets through another host.
 //!
 //! A host that can't reach a target asks one that can to open a connection, and to pass bytes
-//! between the two. The request starts with [`PREFACE`] on a new connection to the other host's
+//! between the two. The request starts with `PREFACE` on a new connection to the other host's
 //! port for hosts; no call can start with it, since it would be a longer frame than allowed.
 //!
 //! ```text
--- a/crates/sched/src/batch/mod.rs
+++ b/crates/sched/src/batch/mod.rs
@@ -84,6 +84,8 @@
             fill: config.size as f64,
             service,
             config,
+            // Duties move between hosts that live on, so a start of this one tells nothing of what was
+            // spent on the service before.
             budget: RetryBudget::new(allowance, Past::None),
             targets: BTreeMap::new(),
             pieces: HashMap::new(),
--- a/crates/sched/src/budget.rs
+++ b/crates/sched/src/budget.rs
@@ -13,7 +13,7 @@
 //! what its predecessor has spent within the window nor how many hosts there are. If it took a
 //! share as usual, a fleet that is restarted while its targets turn requests away would spend the
 //! budget once more with each restart. So for its first window it spends only what no process
-//! spends otherwise, [`YOUNG_SHARE`] of the ratio: together with a predecessor that has spent all
+//! spends otherwise, `YOUNG_SHARE` of the ratio: together with a predecessor that has spent all
 //! it could, that is the ratio of the requests of both.
 
 use base::{Ms, PoolId};
--- a/crates/sched/src/health.rs
+++ b/crates/sched/src/health.rs
@@ -84,7 +84,7 @@
     }
 
     /// Ends an ejection: the failures were due to this host's own links.
-    pub fn pardon(&mut self) {
+    pub fn reinstate(&mut self) {
         self.recover();
     }
 
--- a/crates/sched/src/reach.rs
+++ b/crates/sched/src/reach.rs
@@ -6,7 +6,7 @@
 //!
 //! | observed | consequence |
 //! |---|---|
-//! | a new connection to a target fails | others are asked to connect to it, once in [`ASK_INTERVAL`] |
+//! | a new connection to a target fails | others are asked to connect to it, once in `ASK_INTERVAL` |
 //! | another host connects to it | it is reached by a detour; other targets of its service, as long as they weren't reached directly, are tried both ways at once |
 //! | no other host does either | it is down |
 //! | a new connection of the host's own is opened | the target is reached directly |
