--- a/crates/base/src/id.rs
+++ b/crates/base/src/id.rs
@@ -73,6 +73,9 @@
     TargetId,
     /// A pool of interchangeable targets.
     PoolId,
+    /// A version of a target's software, also called its build; unrelated to the version of the
+    /// weights that it has loaded.
+    BuildId,
     /// A model that engines load.
     ModelId,
     /// A pipeline: a declared list of stages.
--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -10,7 +10,7 @@
 pub use clock::{BootClock, Clock, ManualClock, Ms, SystemClock};
 pub use hash::{hash_parts, rendezvous};
 pub use id::{
-    Attempt, ChangeId, DomainId, Generation, HostId, IdError, Key, ModelId, PipelineId, PoolId,
-    RegionId, RequestId, StageId, TargetId, Version, WorkspaceId,
+    Attempt, BuildId, ChangeId, DomainId, Generation, HostId, IdError, Key, ModelId, PipelineId,
+    PoolId, RegionId, RequestId, StageId, TargetId, Version, WorkspaceId,
 };
 pub use pause::{PauseMeter, TURN_INTERVAL};
--- a/crates/catalog/src/entry.rs
+++ b/crates/catalog/src/entry.rs
@@ -1,6 +1,6 @@
 //! A target's registration.
 
-use base::{DomainId, Ms, PoolId, TargetId};
+use base::{BuildId, DomainId, Ms, PoolId, TargetId};
 use std::net::SocketAddr;
 
 /// Whether a target takes new work.
@@ -24,6 +24,8 @@
     pub addr: SocketAddr,
     /// Its failure domain.
     pub domain: DomainId,
+    /// The version of its software. What two versions write doesn't fit into one stream.
+    pub build: BuildId,
     /// Number of requests or calls it runs concurrently.
     pub slots: u32,
     /// Whether it takes new work.
--- a/crates/catalog/src/registry.rs
+++ b/crates/catalog/src/registry.rs
@@ -223,6 +223,11 @@
         new.chain(gone).collect()
     }
 
+    /// A target by name.
+    pub fn get(&self, id: &TargetId) -> Option<&Arc<Target>> {
+        self.targets.get(id)
+    }
+
     /// All targets, including those that are draining.
     pub fn targets(&self) -> impl Iterator<Item = &Arc<Target>> {
         self.targets.values()
--- a/crates/catalog/tests/log.rs
+++ b/crates/catalog/tests/log.rs
@@ -9,6 +9,7 @@
         service: "register".into(),
         addr: "127.0.0.1:9".parse().unwrap(),
         domain: "domain-0".into(),
+        build: "1".into(),
         slots: 6,
         state: TargetState::Ready,
         warmup: Ms::ZERO,
--- a/crates/catalog/tests/registry.rs
+++ b/crates/catalog/tests/registry.rs
@@ -9,6 +9,7 @@
         service: "register".into(),
         addr: "127.0.0.1:9".parse().unwrap(),
         domain: "thies-nord".into(),
+        build: "1".into(),
         slots: 6,
         state,
         warmup: Ms::ZERO,
--- a/crates/edge/src/core/known.rs
+++ b/crates/edge/src/core/known.rs
@@ -231,7 +231,14 @@
         for event in &events {
             match event {
                 RegistryEvent::Joined(id) => {
-                    note!(logs::Event::TargetJoined, target = %id, source, position = %position);
+                    let build = view.registry.get(id).map(|t| t.entry.build.as_str());
+                    note!(
+                        logs::Event::TargetJoined,
+                        target = %id,
+                        source,
+                        position = %position,
+                        build
+                    );
                 }
                 RegistryEvent::Draining(id) => {
                     note!(logs::Event::TargetLeaving, target = %id, source, position = %position);
--- a/crates/edge/src/dialect.rs
+++ b/crates/edge/src/dialect.rs
@@ -41,6 +41,8 @@
     pub piece_key: Option<Arc<str>>,
     /// Id of the last event of the stream that the caller has received.
     pub last_event: Option<u64>,
+    /// The caller's attempt that brought the first event of the stream that this one takes up.
+    pub resumes: Option<Arc<str>>,
 }
 
 impl RequestHead {
@@ -50,6 +52,11 @@
         self.prompt.get(shared).map_or(0, |part| part.id)
     }
 
+    /// Whether the caller takes up a stream of which it has received events.
+    pub fn takes_up(&self) -> bool {
+        self.resumes.is_some() || self.last_event.is_some()
+    }
+
     /// Number of tokens of the prompt that other requests share.
     pub fn shared_tokens(&self) -> u64 {
         let own = self.prompt.len().saturating_sub(1);
--- a/crates/edge/src/links.rs
+++ b/crates/edge/src/links.rs
@@ -87,6 +87,11 @@
         TargetId::from(format!("{}@{}", self.entry.id, self.entry.born))
     }
 
+    /// The version of its software.
+    pub(crate) fn build(&self) -> &str {
+        self.entry.build.as_str()
+    }
+
     /// Records that a request to it begins.
     pub(crate) fn begin(self: &Arc<Self>) -> OpenRequest {
         self.health().begin();
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -21,6 +21,7 @@
     sends: Counter<u64>,
     retries: Counter<u64>,
     retry_hosts: Gauge<u64>,
+    streams: Counter<u64>,
     stages: Histogram<u64>,
     errors: Histogram<u64>,
     calls: Histogram<u64>,
@@ -50,6 +51,7 @@
             sends: meter.u64_counter("edge_sends").build(),
             retries: meter.u64_counter("edge_retries").build(),
             retry_hosts: meter.u64_gauge("edge_retry_hosts").build(),
+            streams: meter.u64_counter("edge_streams_went_on").build(),
             stages: meter.u64_histogram("edge_stage_ms").build(),
             errors: meter.u64_histogram("edge_prediction_error_ms").build(),
             calls: meter.u64_histogram("edge_call_pieces").build(),
@@ -95,6 +97,12 @@
         self.retry_hosts.record(hosts as u64, &[]);
     }
 
+    /// Counts a stream that goes on at another run: resumed by this `host` within its answer, or
+    /// taken up by its `caller`.
+    pub(crate) fn stream_went_on(&self, by: &'static str) {
+        self.streams.add(1, &[KeyValue::new("by", by)]);
+    }
+
     /// Records the time that a stage took from its submission.
     pub(crate) fn stage(&self, service: &str, took: Ms) {
         self.stages.record(took.0, &[KeyValue::new("service", service.to_owned())]);
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -324,6 +324,7 @@
             request = %self.call.head.id,
             route = %self.call.route.name,
             target = open.link.name(),
+            build = open.link.build(),
             first_ms = self.first_event.map(|at| (at - self.call.arrived).0),
             took_ms = (now - self.call.arrived).0,
             left_ms = self.call.left(now).0
--- a/crates/edge/src/relay/forward.rs
+++ b/crates/edge/src/relay/forward.rs
@@ -68,10 +68,26 @@
             return;
         }
         self.first_event = Some(now);
+        self.note_taken_up();
         let route = &self.call.route;
         self.core.metrics.answered(&route.name, now - self.call.arrived, route.latency_goal);
     }
 
+    /// Logs and counts that a stream which the caller takes up goes on.
+    fn note_taken_up(&self) {
+        let head = &self.call.head;
+        let Some(open) = self.open.as_ref().filter(|_| head.takes_up()) else { return };
+        self.core.metrics.stream_went_on("caller");
+        note!(
+            logs::Event::StreamTakenUp,
+            request = %head.id,
+            resumes = head.resumes.as_deref(),
+            after = head.last_event,
+            target = open.link.name(),
+            build = open.link.build()
+        );
+    }
+
     /// Records the end of a complete stream.
     pub(super) fn finish(&mut self) {
         let Some(open) = self.open.take() else { return };
@@ -87,6 +103,7 @@
                 route = %self.call.route.name,
                 version = self.call.catalog.version,
                 target = open.link.name(),
+                build = open.link.build(),
                 runs = self.runs,
                 first_ms = self.first_event.map(|at| (at - self.call.arrived).0),
                 stages_ms = (self.stages_done - self.call.arrived).0,
@@ -101,6 +118,7 @@
     /// Resumes the stream at another engine, after the last complete event.
     pub(super) async fn resume(&mut self, fault: SendFault) -> Result<(), Truncated> {
         // The connection is dropped first, so that this engine stops before another resumes.
+        let began_at = self.open.as_ref().map(|open| open.link.entry.build.clone());
         if let Some(open) = self.open.take() {
             let outcome = match fault {
                 SendFault::Silent => Outcome::Silent,
@@ -126,8 +144,12 @@
                     note!(
                         logs::Event::StreamResumed,
                         request = %self.call.head.id,
-                        after = self.events.last()
+                        after = self.events.last(),
+                        target = self.open.as_ref().map(|open| open.link.name()),
+                        build = self.open.as_ref().map(|open| open.link.build()),
+                        began_at = began_at.as_ref().map(base::BuildId::as_str)
                     );
+                    self.core.metrics.stream_went_on("host");
                     return Ok(());
                 }
                 Sent::NotRun | Sent::Lost | Sent::InputsGone => {}
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -246,6 +246,7 @@
             warmup_ms: e.warmup.0,
             seq: e.seq,
             born: e.born,
+            build: e.build.as_str().to_owned(),
         }),
     }
 }
@@ -261,6 +262,7 @@
         service: entry.service.as_str().into(),
         addr,
         domain: entry.domain.as_str().into(),
+        build: entry.build.as_str().into(),
         slots: entry.slots,
         state: if entry.draining { TargetState::Draining } else { TargetState::Ready },
         warmup: Ms(entry.warmup_ms),
--- a/crates/wire/src/gen/siskinwheel.v1.rs
+++ b/crates/wire/src/gen/siskinwheel.v1.rs
@@ -991,6 +991,9 @@
     pub seq: u64,
     #[prost(uint64, tag = "8")]
     pub born: u64,
+    /// Version of its software.
+    #[prost(string, tag = "9")]
+    pub build: ::prost::alloc::string::String,
 }
 /// Whether any part of a refused or failed request ran.
 #[derive(serde::Serialize, serde::Deserialize)]
