A target that may have started again proves itself before it gets a stream

What callers would see: a stream that goes on at another version, since its target came back under the same name and address as another version and the host still held its former registration. Expect-Instance and answers name the target, not its start.

An open connection proves the same process, so ordinary sends cost nothing.

--- a/crates/edge/src/dialect.rs
+++ b/crates/edge/src/dialect.rs
@@ -192,6 +192,12 @@
     /// The request that releases results on a stage target.
     fn stage_free(&self, target: &str, handles: &[String]) -> Request<Bytes>;
 
+    /// The request by which a target reports about itself.
+    fn report_call(&self, target: &str) -> Request<Bytes>;
+
+    /// When a target started, from its report, in ms since the Unix epoch; none if it doesn't say.
+    fn parse_report(&self, body: &[u8]) -> Option<u64>;
+
     /// Path at which the platform checks whether the host is ready for requests.
     fn ready_path(&self) -> &'static str;
 }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -43,6 +43,7 @@
 mod reload;
 mod remote;
 mod request;
+mod restart;
 mod results;
 mod send;
 mod settings;
--- a/crates/edge/src/links.rs
+++ b/crates/edge/src/links.rs
@@ -41,6 +41,8 @@
     backlog: Mutex<Backlog>,
     subjects: Mutex<CachedSubjects>,
     warmup: Mutex<WarmupState>,
+    /// Until when it may have started again without being registered, since a connection ended, ms.
+    restarted: AtomicU64,
     /// Time after a failed connection within which it would register again if it had been
     /// restarted.
     rejoin_time: Ms,
@@ -73,6 +75,7 @@
             backlog: Mutex::default(),
             subjects: Mutex::default(),
             warmup: Mutex::new(warmup),
+            restarted: AtomicU64::new(0),
             rejoin_time,
         }
     }
@@ -126,6 +129,7 @@
             // It may have been restarted, and be cold before its new registration is known.
             Outcome::NoConnection | Outcome::Broken | Outcome::Silent => {
                 self.warmup().suspect_until(now + self.rejoin_time);
+                self.suspect_restart(now);
             }
             Outcome::Good(_) | Outcome::Failed | Outcome::Full => {}
         }
@@ -137,6 +141,24 @@
         self.warmup().clear_suspicion();
     }
 
+    /// Whether it may have started again since it registered: a connection has ended, and if it was
+    /// restarted, its new registration may not be known yet.
+    pub(crate) fn restart_suspected(&self, now: Ms) -> bool {
+        if self.pool.prune() {
+            self.suspect_restart(now);
+        }
+        now < Ms(self.restarted.load(Ordering::Relaxed))
+    }
+
+    /// Records that it is the registered incarnation.
+    pub(crate) fn clear_restart(&self) {
+        self.restarted.store(0, Ordering::Relaxed);
+    }
+
+    fn suspect_restart(&self, now: Ms) {
+        self.restarted.fetch_max((now + self.rejoin_time).0, Ordering::Relaxed);
+    }
+
     /// Sets the load that it reported.
     pub(crate) fn set_load(&self, now: Ms, load: Load) {
         *self.load.lock().unwrap_or_else(PoisonError::into_inner) = Some((now, load));
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -21,7 +21,7 @@
 use crate::request::Call;
 use crate::results::Results;
 use crate::send::{Answered, Lease, SendFault, Wait, send};
-use crate::stages;
+use crate::{restart, stages};
 
 /// Most engines that a request is sent to, including those that did not run it.
 const MAX_ENGINES: usize = 4;
@@ -203,6 +203,10 @@
             Err(block_reason) => return Sent::Blocked(block_reason),
         };
         self.tried.push(link.clone());
+        let resumable = self.call.route.retry_safety.is_idempotent();
+        if resumable && !restart::is_same(&self.core, &link, &self.call.residency).await {
+            return Sent::NotRun;
+        }
         let tokens = self.call.head.own_tokens();
         let reading = self.core.estimate().first_event(&self.call.service, tokens);
         let time = self.core.estimate().prefill(&self.call.service, tokens);
--- /dev/null
+++ b/crates/edge/src/restart.rs
@@ -0,0 +1,64 @@
+//! Finds out whether a target has started again under its name since it registered.
+//!
+//! A target that crashes may come back within a second under the same name and at the same address,
+//! with other software. Until its new registration is known here, requests for the former one reach
+//! it, and nothing in them or in its answers tells the two apart: a stream would go on at another
+//! version, or be recorded as begun at the former one. An open connection proves that the process
+//! is the same. So once connections to a target have ended, it is asked when it started before it
+//! gets a stream on a new one. That costs a call only after a connection has ended.
+
+use base::Ms;
+use catalog::Residency;
+use link::{ConnPolicy, full, read};
+use logs::note;
+use sched::health::Outcome;
+use std::sync::Arc;
+
+use crate::core::Core;
+use crate::links::Link;
+use crate::send::connect;
+
+/// Time-out for the answer: round trips take up to about 40 ms.
+const ANSWER_TIMEOUT: Ms = Ms(300);
+/// Largest answer that is read, bytes.
+const MAX_ANSWER_BYTES: usize = 64 << 10;
+
+/// Whether the target is known to be the registered incarnation. If it has to be asked, the
+/// connection on which it has answered is kept for the next request.
+pub(crate) async fn is_same(core: &Arc<Core>, link: &Arc<Link>, residency: &Residency) -> bool {
+    if !link.restart_suspected(core.clock.now()) {
+        return true;
+    }
+    let started = ask(core, link, residency).await;
+    let same = started == Some(link.entry.born);
+    match same {
+        true => link.clear_restart(),
+        false => note!(
+            logs::Event::TargetUnproved,
+            target = link.name(),
+            registered = link.entry.born,
+            started
+        ),
+    }
+    same
+}
+
+/// Asks a target on a new connection when it started, in ms since the Unix epoch.
+async fn ask(core: &Arc<Core>, link: &Arc<Link>, residency: &Residency) -> Option<u64> {
+    let mut dialed = match connect(core, link, residency, ConnPolicy::New).await {
+        Ok(dialed) => dialed,
+        Err(_) => {
+            link.record(core.clock.now(), Outcome::NoConnection);
+            return None;
+        }
+    };
+    let call = core.dialect.report_call(link.name()).map(full);
+    let answer = dialed.conn.send(call, ANSWER_TIMEOUT).await.ok()?;
+    let body = read(answer.into_body(), MAX_ANSWER_BYTES);
+    let body = tokio::time::timeout(ANSWER_TIMEOUT.duration(), body).await.ok()?.ok()?;
+    let started = core.dialect.parse_report(&body)?;
+    if dialed.poolable {
+        link.pool.put(dialed.conn);
+    }
+    Some(started)
+}
--- a/crates/edge/src/send.rs
+++ b/crates/edge/src/send.rs
@@ -179,7 +179,8 @@
     Ok(Answered { head, parts, body, lease })
 }
 
-async fn connect(
+/// Takes a connection to a target, or opens one.
+pub(crate) async fn connect(
     core: &Arc<Core>,
     link: &Arc<Link>,
     residency: &Residency,
--- a/crates/link/src/client.rs
+++ b/crates/link/src/client.rs
@@ -111,6 +111,14 @@
         self.idle.lock().unwrap_or_else(PoisonError::into_inner).clear();
     }
 
+    /// Drops the idle connections that the far end has closed. Returns whether there were any.
+    pub fn prune(&self) -> bool {
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        let before = idle.len();
+        idle.retain(|conn| conn.sender.is_ready());
+        idle.len() < before
+    }
+
     /// Takes an idle connection that can still be used, if there is one.
     pub fn idle(&self) -> Option<Conn> {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/logs/src/event.rs
+++ b/crates/logs/src/event.rs
@@ -95,6 +95,7 @@
     ServiceUnreachable = 322, Warn, "Other hosts reach targets of a service that this host can't connect to; it connects to them through those hosts.";
     ServiceReachable = 323, Info, "This host no longer connects to targets of a service through other hosts.";
     BuildListed = 324, Info, "A software version is listed in the platform's store; streams may begin at its targets.";
+    TargetUnproved = 325, Info, "Connections to a target have ended, and it could not be shown to be the registered incarnation; a stream was not sent to it.";
     JournalUnavailable = 400, Warn, "A key could not be recorded; its request was refused.";
     FinishRetried = 401, Warn, "The outcome of a keyed request could not be recorded yet; the write is retried.";
     FinishLost = 402, Error, "The outcome of a keyed request could not be recorded; re-sends are answered as unknown.";
