A software version without targets leaves the store's list

With every release the list of versions grew by one, and the fleet would have told of its streams for ever after the first one: with one version serving it must cost next to nothing. A version that had no target for ten minutes, the longest time for which a caller may come back, is removed by the hosts that read the store, unless its object has changed; hosts count it for ten minutes more, so a store that came back from an older copy proves nothing wrong. A version whose targets come back is listed again before a stream begins there.

--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -15,7 +15,7 @@
 mod registry;
 mod residency;
 
-pub use builds::{Build, Builds};
+pub use builds::{Build, Builds, MAX_STREAM_LIFETIME, UnusedBuilds};
 pub use entry::{Entry, TargetState};
 pub use freshness::{Freshness, KEY_PROOF_PERCENT, Proof};
 pub use log::{ChangeLog, Delta, Update};
--- a/crates/edge/src/builds.rs
+++ b/crates/edge/src/builds.rs
@@ -1,12 +1,13 @@
 //! Keeps the list of software versions at which streams may begin, in the platform's store. See
 //! [`catalog::Builds`].
 //!
-//! A host that reads the store adds the versions of new targets; the others learn of them from it.
-//! The list is read when it is not known, when a version is missing, and for callers that take up
-//! streams: an ordinary request costs no call.
+//! A host that reads the store adds the versions of new targets and removes those that have had no
+//! target for long; the others learn of both from it. The list is read when it is not known, when a
+//! version is missing, and for callers that take up streams: an ordinary request costs no call.
 
 use base::Ms;
-use catalog::Build;
+use catalog::{Build, UnusedBuilds};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use crate::backoff::Backoff;
@@ -14,9 +15,13 @@
 use crate::directory::{DirectoryError, Kind, RecordBody};
 use crate::read::list;
 
-/// Adds versions that are missing, while this host reads the store.
+/// Interval between checks for versions without targets.
+const CHECK_INTERVAL: Ms = Ms::secs(60);
+
+/// Adds versions that are missing, and removes unused ones, while this host reads the store.
 pub(crate) async fn follow(core: Arc<Core>) {
     let mut backoff = Backoff::default();
+    let mut unused = UnusedBuilds::default();
     let mut reading = core.store_reader();
     let mut changed = core.changed.subscribe();
     loop {
@@ -24,11 +29,11 @@
             return;
         }
         changed.mark_unchanged();
-        match update(&core).await {
+        match update(&core, &mut unused).await {
             Ok(()) => {
                 backoff.succeeded();
-                // The sender lives in the core.
-                let _ = changed.changed().await;
+                // Either end wakes the next check.
+                let _ = tokio::time::timeout(CHECK_INTERVAL.duration(), changed.changed()).await;
             }
             Err(err) => {
                 backoff.failed(&err, "builds");
@@ -38,26 +43,42 @@
     }
 }
 
-/// Reads the list if it is not known in the store's present era, and adds what is missing.
-async fn update(core: &Core) -> Result<(), DirectoryError> {
+/// Reads the list if it is not known in the store's present era, adds what is missing, and removes
+/// what is unused.
+async fn update(core: &Core, unused: &mut UnusedBuilds) -> Result<(), DirectoryError> {
     let position = core.builds().position();
     if position.is_none_or(|position| !core.in_newest_era(position)) {
         read_list(core).await?;
     }
-    if core.unlisted_builds().is_empty() {
+    let (listed, present) = (core.builds().listed(), core.present_builds());
+    let due = unused.observe(core.clock.now(), &listed, &present);
+    if !due.is_empty() {
+        remove(core, &due).await?;
+    }
+    if present.is_subset(&listed) {
         return Ok(());
     }
     // Another host may have added them.
     read_list(core).await?;
-    let unlisted = core.unlisted_builds();
-    if unlisted.is_empty() {
+    let listed = core.builds().listed();
+    let mut missing = present.difference(&listed).peekable();
+    if missing.peek().is_none() {
         return Ok(());
     }
-    for build in &unlisted {
+    for build in missing {
         core.metrics.store_call("write");
         core.directory.add_build(build).await?;
     }
-    read_list(core).await
+    read_list(core).await.map(drop)
+}
+
+async fn remove(core: &Core, due: &[Build]) -> Result<(), DirectoryError> {
+    let listed = read_list(core).await?;
+    for (build, revision) in listed.iter().filter(|(build, _)| due.contains(build)) {
+        core.metrics.store_call("write");
+        core.directory.remove_build(build, *revision).await?;
+    }
+    read_list(core).await.map(drop)
 }
 
 /// Reads the list unless a read that was sent after `since` has succeeded. Returns whether the list
@@ -77,16 +98,17 @@
     read
 }
 
-async fn read_list(core: &Core) -> Result<(), DirectoryError> {
+/// Reads the list, and returns it with the revisions of its objects.
+async fn read_list(core: &Core) -> Result<BTreeMap<Build, u64>, DirectoryError> {
     let (records, position) = list(core, core.directory.as_ref(), Kind::Builds).await?;
     let listed = records.into_iter().filter_map(|record| match record.body {
-        RecordBody::Build(build) => Some(build),
+        RecordBody::Build { build, revision } => Some((build, revision)),
         RecordBody::Catalog(_)
         | RecordBody::Target(_)
         | RecordBody::Evacuation
         | RecordBody::Malformed(_) => None,
     });
-    let listed: Vec<Build> = listed.collect();
-    core.apply_builds(position, listed);
-    Ok(())
+    let listed: BTreeMap<Build, u64> = listed.collect();
+    core.apply_builds(position, &listed.keys().cloned().collect());
+    Ok(listed)
 }
--- a/crates/edge/src/core/builds.rs
+++ b/crates/edge/src/core/builds.rs
@@ -21,13 +21,14 @@
     }
 
     /// Applies the list of versions as it was at a position of the store.
-    pub(crate) fn apply_builds(&self, position: Position, listed: Vec<Build>) {
+    pub(crate) fn apply_builds(&self, position: Position, listed: &BTreeSet<Build>) {
         let mut builds = self.builds();
-        let new: Vec<Build> =
-            listed.iter().filter(|b| !builds.lists(&b.service, &b.id)).cloned().collect();
-        let newer = builds.apply(position, listed);
+        let before = builds.listed();
+        if !builds.apply(self.clock.now(), position, listed) {
+            return;
+        }
         drop(builds);
-        for build in &new {
+        for build in listed.difference(&before) {
             note!(
                 logs::Event::BuildListed,
                 service = %build.service,
@@ -35,10 +36,16 @@
                 position = %position
             );
         }
-        if newer {
-            self.changed.send_replace(());
+        for build in before.difference(listed) {
+            note!(
+                logs::Event::BuildUnlisted,
+                service = %build.service,
+                build = %build.id,
+                position = %position
+            );
         }
-        if !new.is_empty() {
+        if *listed != before {
+            self.changed.send_replace(());
             self.origins_due.notify_one();
         }
     }
@@ -48,15 +55,13 @@
         self.resumable_services().is_empty() || self.builds().position().is_some()
     }
 
-    /// Versions of targets at which streams may not begin yet, because the list lacks them.
-    pub(crate) fn unlisted_builds(&self) -> BTreeSet<Build> {
+    /// Versions that targets have, of services with streams that callers may take up.
+    pub(crate) fn present_builds(&self) -> BTreeSet<Build> {
         let services = self.resumable_services();
         let links = self.links();
-        let builds = self.builds();
         let entries = links.all().map(|link| &link.entry);
         let present = entries.filter(|e| services.contains(&e.service));
-        let unlisted = present.filter(|e| !builds.lists(&e.service, &e.build));
-        unlisted.map(|e| Build { service: e.service.clone(), id: e.build.clone() }).collect()
+        present.map(|e| Build { service: e.service.clone(), id: e.build.clone() }).collect()
     }
 
     /// Whether a target of this version takes requests of a service now.
--- a/crates/edge/src/directory.rs
+++ b/crates/edge/src/directory.rs
@@ -39,8 +39,13 @@
     Target(Entry),
     /// The failure domain of that name is evacuated.
     Evacuation,
-    /// Streams may have begun at this version.
-    Build(Build),
+    /// Streams may have begun at a version.
+    Build {
+        /// The version.
+        build: Build,
+        /// Number of the object's last change.
+        revision: u64,
+    },
     /// It can't be parsed; holds the reason, for the log.
     Malformed(String),
 }
@@ -138,6 +143,9 @@
     /// Adds a version at which streams may begin. Succeeds also if it is listed already.
     async fn add_build(&self, build: &Build) -> Result<(), DirectoryError>;
 
+    /// Removes a version, unless its object has changed since `revision`.
+    async fn remove_build(&self, build: &Build, revision: u64) -> Result<(), DirectoryError>;
+
     /// Parses declarations whose text another host has read from the store.
     fn declared(&self, text: Bytes) -> Result<Declared, DirectoryError>;
 }
--- a/crates/edge/src/evacuate.rs
+++ b/crates/edge/src/evacuate.rs
@@ -73,7 +73,7 @@
         RecordBody::Evacuation => Some(record.name.as_str().into()),
         RecordBody::Catalog(_)
         | RecordBody::Target(_)
-        | RecordBody::Build(_)
+        | RecordBody::Build { .. }
         | RecordBody::Malformed(_) => {
             note!(logs::Event::EntryMalformed, target = %record.name, why = "not an evacuation");
             None
--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -244,6 +244,7 @@
         let seen = hosts.iter().map(|h| (&h.host, &h.domain));
         core.gate.roster().see(core.clock.now(), seen);
         core.origins().evict(core.clock.now());
+        core.builds().expire(core.clock.now());
         core.metrics.known_streams(core.origins().len());
     }
 }
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -148,7 +148,10 @@
         service: b.service.as_str().to_owned(),
         build: b.id.as_str().to_owned(),
     };
-    Some(BuildList { revision: position.pack(), builds: builds.all().map(to_wire).collect() })
+    Some(BuildList {
+        revision: position.pack(),
+        builds: builds.listed().into_iter().map(to_wire).collect(),
+    })
 }
 
 fn evacuation(core: &Core, arrived: Ms) -> Option<Evacuation> {
@@ -235,7 +238,7 @@
     let Some(position) = Position::unpack(list.revision) else { return };
     let from_wire =
         |b: &ListedBuild| Build { service: b.service.as_str().into(), id: b.build.as_str().into() };
-    core.apply_builds(position, list.builds.iter().map(from_wire).collect());
+    core.apply_builds(position, &list.builds.iter().map(from_wire).collect());
 }
 
 fn apply_targets(core: &Core, position: Position, news: &StoreNews) {
--- a/crates/logs/src/event.rs
+++ b/crates/logs/src/event.rs
@@ -96,6 +96,7 @@
     ServiceReachable = 323, Info, "This host no longer connects to targets of a service through other hosts.";
     BuildListed = 324, Info, "A software version is listed in the platform's store; streams may begin at its targets.";
     TargetUnproved = 325, Info, "Connections to a target have ended, and it could not be shown to be the registered incarnation; a stream was not sent to it.";
+    BuildUnlisted = 326, Info, "A software version is no longer listed in the platform's store: it had no target for long, or the store came back from an older copy.";
     JournalUnavailable = 400, Warn, "A key could not be recorded; its request was refused.";
     FinishRetried = 401, Warn, "The outcome of a keyed request could not be recorded yet; the write is retried.";
     FinishLost = 402, Error, "The outcome of a keyed request could not be recorded; re-sends are answered as unknown.";
--- a/crates/sched/src/origins.rs
+++ b/crates/sched/src/origins.rs
@@ -13,6 +13,7 @@
 //! instead of dropping those that callers are about to take up.
 
 use base::{BuildId, Ms, hash_parts};
+use catalog::MAX_STREAM_LIFETIME;
 use std::collections::HashMap;
 
 /// Number of hosts that hold a record, beside the one that began the stream. If half of a fleet
@@ -20,8 +21,6 @@
 pub const COPIES: usize = 6;
 /// Number of records that are kept: about 5 MB, and five minutes of a small host's streams.
 const MAX_RECORDS: usize = 65_536;
-/// Longest time for which a record is kept, whatever deadline a caller names.
-const MAX_LIFETIME: Ms = Ms::secs(600);
 
 /// Identifies a stream by the workspace and the caller's attempt that brought its first event. A
 /// caller that names an attempt of another workspace names a stream that nobody knows.
@@ -101,7 +100,7 @@
 
     /// Whether the record is new and is to be told.
     fn insert(&mut self, now: Ms, origin: Origin, untold: bool) -> bool {
-        let until = origin.until.min(now + MAX_LIFETIME);
+        let until = origin.until.min(now + MAX_STREAM_LIFETIME);
         if let Some(known) = self.records.get_mut(&origin.stream).filter(|r| now < r.until) {
             known.until = known.until.max(until);
             return false;
