Bench: designs that know at which software version a stream began

siskinwheel-bench origins compares, in virtual time and at 6, 79 and 400 hosts, the first host alone, all or some hosts told, a hash of the attempt, and a write to the store.

--- a/bins/siskinwheel-bench/src/main.rs
+++ b/bins/siskinwheel-bench/src/main.rs
@@ -1,4 +1,4 @@
-//! Benchmarks and simulations: `siskinwheel-bench path|policy|stages|cold|journal|fleet|replay|capacity`.
+//! Benchmarks and simulations: `siskinwheel-bench path|policy|stages|cold|origins|journal|fleet|replay|capacity`.
 
 mod ablation;
 mod capacity;
@@ -6,6 +6,7 @@
 mod decide;
 mod fleet;
 mod journal;
+mod origins;
 mod path;
 mod policy;
 mod process;
@@ -31,6 +32,7 @@
   policy   load patterns by policy, in virtual time; the time of a decision
   stages   designs for batching the calls to stage targets, in virtual time
   cold     designs that limit the load of all hosts on a cold target, in virtual time
+  origins  designs that know at which software version a stream began, in virtual time
   journal  designs that run a key at most once: writes, latency, recovery, outage
   replay   effects of a host on a recorded file of events";
 
@@ -62,6 +64,8 @@
         Some("cold") => cold::run(args, &output)?,
         Some("fleet") if args.contains(["-h", "--help"]) => println!("{}", fleet::HELP),
         Some("fleet") => fleet::run(args, &output)?,
+        Some("origins") if args.contains(["-h", "--help"]) => println!("{}", origins::HELP),
+        Some("origins") => origins::run(args, &output)?,
         Some("path") if args.contains(["-h", "--help"]) => println!("{}", path::HELP),
         Some("path") => path::run(args, &output)?,
         Some("policy") => policy::run(args, &output)?,
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -14,6 +14,7 @@
 mod figures;
 mod job;
 mod load;
+pub mod origins;
 mod outcome;
 mod pattern;
 mod policies;
