While versions are mixed, a target proves itself on each new connection

Cause: who answers on a new connection was taken from a registration that may be a second old. Change: while the store lists several versions, an engine is asked when it started on each new connection, for all its streams, since connections are shared; a connection to another incarnation isn't kept; a pooled connection that turns out closed isn't replaced unasked. With one version it stays a call after a connection has ended.

--- a/crates/edge/src/composer/call.rs
+++ b/crates/edge/src/composer/call.rs
@@ -9,7 +9,7 @@
 use super::{Composer, MAX_ANSWER_BYTES, NO_REQUEST_ID, Service, lock};
 use crate::dialect::StageCall;
 use crate::gate::BlockReason;
-use crate::send::{SendFault, Wait, send};
+use crate::send::{IfClosed, SendFault, Wait, send};
 
 impl Composer {
     pub(super) fn call_ended(
@@ -57,7 +57,8 @@
         let anywhere = Residency::Anywhere;
         let residency = pieces.iter().map(|p| &p.residency);
         let residency = residency.fold(anywhere, |all, piece| all.intersect(piece));
-        let sent = send(&self.core, &link, &residency, NO_REQUEST_ID, wait, build).await;
+        let sent =
+            send(&self.core, &link, &residency, NO_REQUEST_ID, wait, IfClosed::Reopen, build).await;
         let answered = match sent {
             Ok(answered) => answered,
             Err(SendFault::Blocked(BlockReason::Limited(rest) | BlockReason::Paused(rest))) => {
--- a/crates/edge/src/composer/release.rs
+++ b/crates/edge/src/composer/release.rs
@@ -10,7 +10,7 @@
 
 use super::{Composer, MAX_ANSWER_BYTES, NO_REQUEST_ID, Service, lock};
 use crate::results;
-use crate::send::{Wait, send};
+use crate::send::{IfClosed, Wait, send};
 
 /// How long freed results are collected for one call: a call for each would cost the target more
 /// than having the room back a few milliseconds sooner is worth.
@@ -76,8 +76,16 @@
             let build = || self.core.dialect.stage_free(link.name(), &handles);
             let wait = Wait::Fixed(FREE_TIMEOUT);
             // If the call fails, the target drops the results when their time to live ends.
-            if let Ok(answered) =
-                send(&self.core, &link, &Residency::Anywhere, NO_REQUEST_ID, wait, build).await
+            if let Ok(answered) = send(
+                &self.core,
+                &link,
+                &Residency::Anywhere,
+                NO_REQUEST_ID,
+                wait,
+                IfClosed::Reopen,
+                build,
+            )
+            .await
             {
                 let read = link::read(answered.body, MAX_ANSWER_BYTES);
                 if let Ok(Ok(_)) = tokio::time::timeout(FREE_TIMEOUT.duration(), read).await {
--- a/crates/edge/src/plain.rs
+++ b/crates/edge/src/plain.rs
@@ -17,7 +17,7 @@
 use crate::links::Link;
 use crate::refusal::{Reason, give_up};
 use crate::request::Call;
-use crate::send::{Answered, SendFault, Wait, send};
+use crate::send::{Answered, IfClosed, SendFault, Wait, send};
 
 /// Largest response in bytes. A response is buffered completely, so that one that ends early is
 /// never passed on in part.
@@ -120,7 +120,8 @@
     let (started, lost) = (core.clock.now(), core.pauses.lost());
     let wait = Wait::Running { within: timeout, most: call.left(started) };
     let build = || call.target_request(headers(core, call, link, &[], call.head.last_event, None));
-    let result = send(core, link, &call.residency, &call.head.id, wait, build).await;
+    let result =
+        send(core, link, &call.residency, &call.head.id, wait, IfClosed::Reopen, build).await;
     let answered = match result {
         Ok(answered) => answered,
         Err(fault) => return attempt_failed(core, call, link, fault),
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -20,7 +20,7 @@
 use crate::refusal::{Reason, give_up};
 use crate::request::Call;
 use crate::results::Results;
-use crate::send::{Answered, Lease, SendFault, Wait, send};
+use crate::send::{Answered, IfClosed, Lease, SendFault, Wait, send};
 use crate::{restart, stages};
 
 /// Most engines that a request is sent to, including those that did not run it.
@@ -203,8 +203,8 @@
             Err(block_reason) => return Sent::Blocked(block_reason),
         };
         self.tried.push(link.clone());
-        let resumable = self.call.route.retry_safety.is_idempotent();
-        if resumable && !restart::is_same(&self.core, &link, &self.call.residency).await {
+        // Also for a stream that can't be resumed: its connection may carry one that can.
+        if !restart::is_same(&self.core, &link, &self.call.residency).await {
             return Sent::NotRun;
         }
         let tokens = self.call.head.own_tokens();
@@ -229,7 +229,8 @@
             call.target_request(headers(core, call, &link, inputs, last, fetch))
         };
         let wait = Wait::Running { within: wait, most: left };
-        let result = send(core, &link, &call.residency, &call.head.id, wait, build).await;
+        let result =
+            send(core, &link, &call.residency, &call.head.id, wait, IfClosed::Fail, build).await;
         self.sends += u32::from(!matches!(result, Err(SendFault::Blocked(_))));
         match result {
             Ok(answered) => self.handle_answer(link, now, was_idle, answered).await,
--- a/crates/edge/src/restart.rs
+++ b/crates/edge/src/restart.rs
@@ -4,8 +4,9 @@
 //! with other software. Until its new registration is known here, requests for the former one reach
 //! it, and nothing in them or in its answers tells the two apart: a stream would go on at another
 //! version, or be recorded as begun at the former one. An open connection proves that the process
-//! is the same. So once connections to a target have ended, it is asked when it started before it
-//! gets a stream on a new one. That costs a call only after a connection has ended.
+//! is the same. So a target is asked when it started before it gets a stream on a new connection, if
+//! earlier ones have ended or versions are mixed. With one version, and on open connections, that
+//! costs nothing.
 
 use base::Ms;
 use catalog::Residency;
@@ -15,6 +16,7 @@
 use std::sync::Arc;
 
 use crate::core::Core;
+use crate::dial::Dialed;
 use crate::links::Link;
 use crate::send::connect;
 
@@ -26,25 +28,35 @@
 /// Whether the target is known to be the registered incarnation. If it has to be asked, the
 /// connection on which it has answered is kept for the next request.
 pub(crate) async fn is_same(core: &Arc<Core>, link: &Arc<Link>, residency: &Residency) -> bool {
-    if !link.restart_suspected(core.clock.now()) {
+    let suspected = link.restart_suspected(core.clock.now());
+    let unproved = core.builds().any_mixed() && !link.pool.has_idle();
+    if !suspected && !unproved {
         return true;
     }
-    let started = ask(core, link, residency).await;
-    let same = started == Some(link.entry.born);
-    match same {
-        true => link.clear_restart(),
-        false => note!(
-            logs::Event::TargetUnproved,
-            target = link.name(),
-            registered = link.entry.born,
-            started
-        ),
+    match ask(core, link, residency).await {
+        Some((started, dialed)) if started == link.entry.born => {
+            link.clear_restart();
+            if dialed.poolable {
+                link.pool.put(dialed.conn);
+            }
+            true
+        }
+        answer => {
+            // No connection to another incarnation may stay in the pool: it would prove nothing.
+            link.pool.clear();
+            note!(
+                logs::Event::TargetUnproved,
+                target = link.name(),
+                registered = link.entry.born,
+                started = answer.map(|(started, _)| started)
+            );
+            false
+        }
     }
-    same
 }
 
 /// Asks a target on a new connection when it started, in ms since the Unix epoch.
-async fn ask(core: &Arc<Core>, link: &Arc<Link>, residency: &Residency) -> Option<u64> {
+async fn ask(core: &Arc<Core>, link: &Arc<Link>, residency: &Residency) -> Option<(u64, Dialed)> {
     let mut dialed = match connect(core, link, residency, ConnPolicy::New).await {
         Ok(dialed) => dialed,
         Err(_) => {
@@ -57,8 +69,5 @@
     let body = read(answer.into_body(), MAX_ANSWER_BYTES);
     let body = tokio::time::timeout(ANSWER_TIMEOUT.duration(), body).await.ok()?.ok()?;
     let started = core.dialect.parse_report(&body)?;
-    if dialed.poolable {
-        link.pool.put(dialed.conn);
-    }
-    Some(started)
+    Some((started, dialed))
 }
--- a/crates/edge/src/send.rs
+++ b/crates/edge/src/send.rs
@@ -114,6 +114,15 @@
     },
 }
 
+/// What happens if a connection from the pool turns out to be closed before anything was sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum IfClosed {
+    /// A new one is opened to the same address.
+    Reopen,
+    /// The send fails: who answers on a new connection may be another incarnation.
+    Fail,
+}
+
 /// Sends a request, which may be processed within `residency`, and waits for the head of its answer.
 /// `build` is called once there is a connection, so that the remaining time that it writes into the
 /// request is right.
@@ -123,9 +132,10 @@
     residency: &Residency,
     id: &str,
     wait: Wait,
+    if_closed: IfClosed,
     build: impl Fn() -> Request<Bytes>,
 ) -> Result<Answered, SendFault> {
-    let result = attempt(core, link, residency, id, wait, build).await;
+    let result = attempt(core, link, residency, id, wait, if_closed, build).await;
     if matches!(result, Err(SendFault::Silent)) {
         core.record_silence(link);
     }
@@ -141,6 +151,7 @@
     residency: &Residency,
     id: &str,
     wait: Wait,
+    if_closed: IfClosed,
     build: impl Fn() -> Request<Bytes>,
 ) -> Result<Answered, SendFault> {
     let open = link.begin();
@@ -150,7 +161,7 @@
     let mut dialed = connect(core, link, residency, ConnPolicy::Reuse).await?;
     gate::admit(core, link).map_err(SendFault::Blocked)?;
     let mut result = dialed.conn.send(build().map(full), end - core.clock.now()).await;
-    if let Err(LinkError::Unsent) = result {
+    if matches!(result, Err(LinkError::Unsent)) && if_closed == IfClosed::Reopen {
         dialed = connect(core, link, residency, ConnPolicy::New).await?;
         gate::admit(core, link).map_err(SendFault::Blocked)?;
         result = dialed.conn.send(build().map(full), end - core.clock.now()).await;
--- a/crates/link/src/client.rs
+++ b/crates/link/src/client.rs
@@ -119,6 +119,13 @@
         idle.len() < before
     }
 
+    /// Whether there is an idle connection that can still be used.
+    pub fn has_idle(&self) -> bool {
+        let idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        let max_idle = self.config.idle_ms.duration();
+        idle.iter().any(|conn| conn.sender.is_ready() && conn.last_used.elapsed() < max_idle)
+    }
+
     /// Takes an idle connection that can still be used, if there is one.
     pub fn idle(&self) -> Option<Conn> {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
