A target that only this host can't reach isn't blamed when asked for its start

As for sends: a connection that fails because this host has lost its links is no failure of the target, and would have kept it from requests for seconds.

--- a/crates/edge/src/restart.rs
+++ b/crates/edge/src/restart.rs
@@ -18,7 +18,7 @@
 use crate::core::Core;
 use crate::dial::Dialed;
 use crate::links::Link;
-use crate::send::connect;
+use crate::send::{SendFault, connect};
 
 /// Time-out for the answer: round trips take up to about 40 ms.
 const ANSWER_TIMEOUT: Ms = Ms(300);
@@ -59,8 +59,11 @@
 async fn ask(core: &Arc<Core>, link: &Arc<Link>, residency: &Residency) -> Option<(u64, Dialed)> {
     let mut dialed = match connect(core, link, residency, ConnPolicy::New).await {
         Ok(dialed) => dialed,
-        Err(_) => {
-            link.record(core.clock.now(), Outcome::NoConnection);
+        Err(fault) => {
+            // A target that only this host can't reach isn't to blame.
+            if fault == SendFault::NoConnection {
+                link.record(core.clock.now(), Outcome::NoConnection);
+            }
             return None;
         }
     };
