--- a/crates/edge/src/dialect.rs
+++ b/crates/edge/src/dialect.rs
@@ -62,10 +62,21 @@
         self.resumes.as_ref().unwrap_or(&self.id)
     }
 
+    /// The parts of the prompt that other requests share: all but the last.
+    pub fn shared_parts(&self) -> &[PromptPart] {
+        let own = self.prompt.len().saturating_sub(1);
+        &self.prompt[..own]
+    }
+
+    /// Their ids, for the log.
+    pub(crate) fn shared_ids(&self) -> String {
+        let ids = self.shared_parts().iter().map(|part| format!("{:x}", part.id));
+        ids.collect::<Vec<_>>().join(",")
+    }
+
     /// Number of tokens of the prompt that other requests share.
     pub fn shared_tokens(&self) -> u64 {
-        let own = self.prompt.len().saturating_sub(1);
-        self.prompt[..own].iter().map(|part| part.tokens).sum()
+        self.shared_parts().iter().map(|part| part.tokens).sum()
     }
 
     /// Number of tokens of the prompt that no engine has read yet.
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -54,6 +54,8 @@
     lease: Lease,
     body: Incoming,
     sent_at: Ms,
+    /// When the engine began to answer.
+    begun: Ms,
     /// Whether its first event is still to come.
     awaits_first: bool,
     /// Whether the engine had no other prompt to read, as far as this host knows.
@@ -235,7 +237,7 @@
         match result {
             Ok(answered) => self.handle_answer(link, now, was_idle, answered).await,
             Err(fault) => {
-                self.record_failure(&link, fault);
+                self.record_failure(&link, fault, None);
                 match fault.unsent() {
                     true => Sent::NotRun,
                     false => {
@@ -275,12 +277,19 @@
         }
         self.runs += 1;
         if parts.status.is_success() && head.signed && !head.encoded {
-            self.open =
-                Some(OpenStream { link, lease, body, sent_at, awaits_first: true, was_idle });
+            self.open = Some(OpenStream {
+                link,
+                lease,
+                body,
+                sent_at,
+                begun: now,
+                awaits_first: true,
+                was_idle,
+            });
             return Sent::Streams(Box::new(parts));
         }
         if parts.status.is_success() {
-            self.record_failure(&link, SendFault::Mismatch);
+            self.record_failure(&link, SendFault::Mismatch, None);
             return Sent::Lost;
         }
         link.record(now, Outcome::Failed);
@@ -298,14 +307,17 @@
         Sent::Answer(Box::new(response))
     }
 
-    /// Logs and counts a failed send or a broken stream.
-    fn record_failure(&self, link: &Link, fault: SendFault) {
+    /// Logs and counts a failed send, or a stream that broke. `answering` is the time since the
+    /// engine began to answer; none if it had not.
+    fn record_failure(&self, link: &Link, fault: SendFault, answering: Option<Ms>) {
         note!(
             logs::Event::AttemptFailed,
             request = %self.call.head.id,
             target = link.name(),
             fault = fault.name(),
             last_event = self.events.last(),
+            parts = self.call.head.shared_ids(),
+            answering_ms = answering.map(|time| time.0),
             left_ms = self.call.left(self.core.clock.now()).0
         );
         self.core.metrics.sent(&self.call.route.name, fault.name());
--- a/crates/edge/src/relay/forward.rs
+++ b/crates/edge/src/relay/forward.rs
@@ -126,8 +126,9 @@
                 SendFault::Silent => Outcome::Silent,
                 _ => Outcome::Broken,
             };
-            open.link.record(self.core.clock.now(), outcome);
-            self.record_failure(&open.link, fault);
+            let now = self.core.clock.now();
+            open.link.record(now, outcome);
+            self.record_failure(&open.link, fault, Some(now - open.begun));
         }
         self.events.restart();
         while self.may_resume() {
--- a/crates/logs/src/event.rs
+++ b/crates/logs/src/event.rs
@@ -73,7 +73,7 @@
     AnswerMismatch = 300, Warn, "An answer belonged to another request, stage or attempt and was dropped with its connection.";
     ConnectionSilent = 301, Warn, "A connection to a target stopped responding while the target answers on a new one.";
     TargetDead = 302, Warn, "A target does not respond on new connections either.";
-    AttemptFailed = 303, Warn, "An attempt of a stage ended without a result.";
+    AttemptFailed = 303, Warn, "An attempt at a target ended without a result: the shared parts of its prompt, and for how long the target had been answering.";
     PieceDropped = 304, Info, "A late or duplicate piece of a stream was dropped.";
     TargetLeaving = 305, Info, "A target is leaving; it gets no new requests.";
     TargetBack = 306, Info, "A target that was leaving has come back.";
