--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -24,7 +24,7 @@
     Backend, Batch, Catalog, CatalogError, Engine, Limits, RetrySafety, Route, Service, Stage,
     Warmup, Workspace,
 };
-pub use poison_parts::{MAX_POISON_PARTS, PartChanges, PoisonParts};
+pub use poison_parts::{Finding, MAX_POISON_PARTS, PartChanges, PoisonParts};
 pub use position::Position;
 pub use registry::{LAPSE_GRACE, Observation, Registry, RegistryEvent, Target};
 pub use residency::Residency;
--- a/crates/catalog/src/poison_parts.rs
+++ b/crates/catalog/src/poison_parts.rs
@@ -27,6 +27,17 @@
     parts: BTreeMap<u64, Standing>,
 }
 
+/// What became of a part that was found.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Finding {
+    /// It is refused from now on.
+    New,
+    /// It was known.
+    Known,
+    /// It is not refused: there are [`MAX_POISON_PARTS`] others.
+    TableFull,
+}
+
 /// What has changed by a list.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct PartChanges {
@@ -66,13 +77,15 @@
         Some(changes)
     }
 
-    /// Adds a part that was found. Returns whether it is new.
-    pub fn found(&mut self, part: u64) -> bool {
-        if self.parts.len() >= MAX_POISON_PARTS || self.parts.contains_key(&part) {
-            return false;
+    /// Adds a part that was found.
+    pub fn found(&mut self, part: u64) -> Finding {
+        match () {
+            () if self.parts.contains_key(&part) => return Finding::Known,
+            () if self.parts.len() >= MAX_POISON_PARTS => return Finding::TableFull,
+            () => {}
         }
         self.parts.insert(part, Standing::Found);
-        true
+        Finding::New
     }
 
     /// Whether a part ends engines.
--- a/crates/catalog/tests/poison_parts.rs
+++ b/crates/catalog/tests/poison_parts.rs
@@ -1,6 +1,6 @@
 //! Tests of the list of prompt parts that end engines.
 
-use catalog::{PartChanges, PoisonParts, Position};
+use catalog::{Finding, MAX_POISON_PARTS, PartChanges, PoisonParts, Position};
 
 fn at(era: u64, revision: u64) -> Position {
     Position::new(era, revision)
@@ -9,8 +9,8 @@
 #[test]
 fn a_found_part_counts_before_the_store_lists_it() {
     let mut parts = PoisonParts::default();
-    assert!(parts.found(7));
-    assert!(!parts.found(7));
+    assert_eq!(parts.found(7), Finding::New);
+    assert_eq!(parts.found(7), Finding::Known);
     assert_eq!(parts.apply(at(1, 5), &[]), Some(PartChanges::default()));
     assert!(parts.contains(7));
     assert_eq!(parts.unlisted(), [7]);
@@ -48,3 +48,11 @@
     assert_eq!(parts.apply(at(1, 4), &[]), None);
     assert!(parts.contains(7));
 }
+
+#[test]
+fn a_full_table_takes_no_more_parts() {
+    let mut parts = PoisonParts::default();
+    (0..MAX_POISON_PARTS as u64).for_each(|part| assert_eq!(parts.found(part), Finding::New));
+    assert_eq!(parts.found(u64::MAX), Finding::TableFull);
+    assert!(!parts.contains(u64::MAX));
+}
--- a/crates/edge/src/core/parts.rs
+++ b/crates/edge/src/core/parts.rs
@@ -1,7 +1,7 @@
 //! What a host knows of parts of prompts that end engines.
 
 use base::TargetId;
-use catalog::{PoisonParts, Position};
+use catalog::{Finding, PoisonParts, Position};
 use logs::note;
 use sched::sound::SoundParts;
 use sched::suspects::{Ends, Verdict};
@@ -57,10 +57,16 @@
     /// Refuses requests with a part from now on, as this host or another has found. Returns whether
     /// that is new.
     pub(crate) fn convict(&self, part: u64, targets: &[TargetId]) -> bool {
-        if !self.poison_parts().found(part) {
-            return false;
-        }
+        // Also if the table is full: the same ends would convict it again and again.
         self.ends().convicted(part);
+        match self.poison_parts().found(part) {
+            Finding::New => {}
+            Finding::Known => return false,
+            Finding::TableFull => {
+                note!(logs::Event::PartsFull, part = format!("{part:x}"));
+                return false;
+            }
+        }
         // Requests that were on these engines have not ended them.
         let mut poison = self.poison();
         targets.iter().for_each(|target| poison.forgive(target));
--- a/crates/logs/src/event.rs
+++ b/crates/logs/src/event.rs
@@ -100,6 +100,7 @@
     PartFound = 327, Error, "A part of prompts ends engines, and requests with it are refused: the engines, at how many moments they ended, whether the part had sound answers before, and how many sound answers others had meanwhile.";
     PartRefused = 328, Warn, "This host refuses requests with a part of prompts from now on.";
     PartLifted = 329, Info, "An operator has removed a part of prompts from the list in the store; requests with it are served again.";
+    PartsFull = 330, Error, "A part of prompts ends engines, but so many others are refused that it isn't.";
     JournalUnavailable = 400, Warn, "A key could not be recorded; its request was refused.";
     FinishRetried = 401, Warn, "The outcome of a keyed request could not be recorded yet; the write is retried.";
     FinishLost = 402, Error, "The outcome of a keyed request could not be recorded; re-sends are answered as unknown.";
