--- a/bins/siskinwheel-bench/src/main.rs
+++ b/bins/siskinwheel-bench/src/main.rs
@@ -1,4 +1,4 @@
-//! Benchmarks and simulations: `siskinwheel-bench path|policy|stages|cold|origins|journal|fleet|replay|capacity`.
+//! Benchmarks and simulations: `siskinwheel-bench path|policy|stages|cold|origins|parts|journal|fleet|replay|capacity`.
 
 mod ablation;
 mod capacity;
@@ -7,6 +7,7 @@
 mod fleet;
 mod journal;
 mod origins;
+mod parts;
 mod path;
 mod policy;
 mod process;
@@ -33,6 +34,7 @@
   stages   designs for batching the calls to stage targets, in virtual time
   cold     designs that limit the load of all hosts on a cold target, in virtual time
   origins  designs that know at which software version a stream began, in virtual time
+  parts    designs that find a part of prompts which ends engines, in virtual time
   journal  designs that run a key at most once: writes, latency, recovery, outage
   replay   effects of a host on a recorded file of events";
 
@@ -66,6 +68,8 @@
         Some("fleet") => fleet::run(args, &output)?,
         Some("origins") if args.contains(["-h", "--help"]) => println!("{}", origins::HELP),
         Some("origins") => origins::run(args, &output)?,
+        Some("parts") if args.contains(["-h", "--help"]) => println!("{}", parts::HELP),
+        Some("parts") => parts::run(args, &output)?,
         Some("path") if args.contains(["-h", "--help"]) => println!("{}", path::HELP),
         Some("path") => path::run(args, &output)?,
         Some("policy") => policy::run(args, &output)?,
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -16,6 +16,7 @@
 mod load;
 pub mod origins;
 mod outcome;
+pub mod parts;
 mod pattern;
 mod policies;
 mod queue;
--- a/crates/sched/src/suspects.rs
+++ b/crates/sched/src/suspects.rs
@@ -53,12 +53,23 @@
 /// ends explain them equally well: some ends have other causes, and first parts are on all engines.
 const EQUAL_PERCENT: usize = 80;
 
+/// Ends beyond the least number that make up for one episode: where requests come fast, all engines
+/// end within a moment, and the next episode has to wait until they are back.
+const ENDS_FOR_EPISODE: usize = 2;
+
 /// The evidence that convicts a part.
 struct Threshold {
     ends: usize,
     episodes: usize,
 }
 
+impl Threshold {
+    fn is_reached(&self, ends: usize, episodes: usize) -> bool {
+        let spared = usize::from(ends >= self.ends + ENDS_FOR_EPISODE);
+        ends >= self.ends && episodes + spared >= self.episodes
+    }
+}
+
 /// For a part that no host remembers from a sound answer. A single request can't reach it, since it
 /// is sent to fewer engines.
 const NEW_PART: Threshold = Threshold { ends: 4, episodes: 3 };
@@ -251,7 +262,7 @@
     fn convicts(&self) -> bool {
         let threshold = if self.known { KNOWN_PART } else { NEW_PART };
         let open = self.ends.iter().filter(|end| !end.explained).count();
-        let enough = self.ends.len() >= threshold.ends && self.episodes >= threshold.episodes;
+        let enough = threshold.is_reached(self.ends.len(), self.episodes);
         let engines_work = !self.known || self.others >= OTHER_ANSWERS;
         enough && open > 0 && LEAST_SHARE * open >= self.rivals && engines_work
     }
--- a/crates/sched/tests/suspects.rs
+++ b/crates/sched/tests/suspects.rs
@@ -203,3 +203,19 @@
     assert_eq!(sound.last(0), None);
     assert_eq!(sound.since(Ms(39_989)), 10);
 }
+
+// Guards against a part that is found only when engines have come back twice: all of them end within
+// a moment where its requests come fast.
+#[test]
+fn many_ends_at_two_moments_convict_a_part() {
+    let mut spell = Spell::default();
+    for n in 0..3 {
+        spell.end(10_000 + n, &[&[FIRST, BAD]]);
+    }
+    for n in 0..2 {
+        spell.end(14_000 + n, &[&[FIRST, BAD]]);
+    }
+    assert_eq!(spell.part(&[(FIRST, 9_000)], 0), None);
+    spell.end(14_010, &[&[FIRST, BAD]]);
+    assert_eq!(spell.part(&[(FIRST, 9_000)], 0), Some(BAD));
+}
