--- a/crates/edge/src/builds.rs
+++ b/crates/edge/src/builds.rs
@@ -12,7 +12,7 @@
 
 use crate::backoff::Backoff;
 use crate::core::Core;
-use crate::directory::{DirectoryError, Kind, RecordBody};
+use crate::directory::{DirectoryError, Kind};
 use crate::read::list;
 
 /// Interval between checks for versions without targets.
@@ -101,14 +101,7 @@
 /// Reads the list, and returns it with the revisions of its objects.
 async fn read_list(core: &Core) -> Result<BTreeMap<Build, u64>, DirectoryError> {
     let (records, position) = list(core, core.directory.as_ref(), Kind::Builds).await?;
-    let listed = records.into_iter().filter_map(|record| match record.body {
-        RecordBody::Build { build, revision } => Some((build, revision)),
-        RecordBody::Catalog(_)
-        | RecordBody::Target(_)
-        | RecordBody::Evacuation
-        | RecordBody::PoisonPart(_)
-        | RecordBody::Malformed(_) => None,
-    });
+    let listed = records.into_iter().filter_map(|record| record.body.build());
     let listed: BTreeMap<Build, u64> = listed.collect();
     core.apply_builds(position, &listed.keys().cloned().collect());
     Ok(listed)
--- a/crates/edge/src/directory.rs
+++ b/crates/edge/src/directory.rs
@@ -54,6 +54,20 @@
     Malformed(String),
 }
 
+impl RecordBody {
+    /// The software version, and the number of its object's last change, of such a record.
+    pub(crate) fn build(self) -> Option<(Build, u64)> {
+        let Self::Build { build, revision } = self else { return None };
+        Some((build, revision))
+    }
+
+    /// The part of prompts of such a record.
+    pub(crate) fn poison_part(self) -> Option<u64> {
+        let Self::PoisonPart(part) = self else { return None };
+        Some(part)
+    }
+}
+
 /// One object of the store.
 #[derive(Clone, Debug)]
 pub struct Record {
--- a/crates/edge/src/parts.rs
+++ b/crates/edge/src/parts.rs
@@ -11,7 +11,7 @@
 
 use crate::backoff::Backoff;
 use crate::core::Core;
-use crate::directory::{DirectoryError, Kind, RecordBody};
+use crate::directory::{DirectoryError, Kind};
 use crate::read::{STORE_TIMEOUT, list, read};
 
 /// Longest wait of a watch. The hosts tell each other of new parts, so a watch matters only to one
@@ -90,14 +90,7 @@
 
 async fn read_list(core: &Core) -> Result<Position, DirectoryError> {
     let (records, position) = list(core, core.directory.as_ref(), Kind::PoisonParts).await?;
-    let listed = records.into_iter().filter_map(|record| match record.body {
-        RecordBody::PoisonPart(part) => Some(part),
-        RecordBody::Catalog(_)
-        | RecordBody::Target(_)
-        | RecordBody::Evacuation
-        | RecordBody::Build { .. }
-        | RecordBody::Malformed(_) => None,
-    });
+    let listed = records.into_iter().filter_map(|record| record.body.poison_part());
     core.apply_parts(position, &listed.collect::<Vec<u64>>());
     Ok(position)
 }
--- a/crates/edge/src/relay/forward.rs
+++ b/crates/edge/src/relay/forward.rs
@@ -8,7 +8,8 @@
 use sched::health::Outcome;
 use sched::suspects::PROBATION;
 
-use super::{OpenStream, Relay, STREAM_TIMEOUT, Sent};
+use super::attempt::Sent;
+use super::{OpenStream, Relay, STREAM_TIMEOUT};
 use crate::body::Truncated;
 use crate::events::Parsed;
 use crate::send::SendFault;
