--- a/bins/siskinwheel-bench/src/parts.rs
+++ b/bins/siskinwheel-bench/src/parts.rs
@@ -40,7 +40,7 @@
         (Design::Own, "each host counts its own"),
         (Design::Told, "all are told"),
         (Design::Cleared, "sound answers clear"),
-        (Design::Judged, "judged together"),
+        (Design::Diagnosed, "diagnosed together"),
     ];
     let mut rows = Vec::new();
     for (hosts, engines, sound) in FLEETS {
--- a/crates/edge/src/composer/serve.rs
+++ b/crates/edge/src/composer/serve.rs
@@ -12,7 +12,7 @@
 };
 
 use super::Composer;
-use crate::{dial, judge, notices, notify, origin, shared};
+use crate::{diagnose, dial, notices, notify, origin, shared};
 
 /// Handler of other hosts' calls.
 pub(crate) struct StageService(pub(crate) Arc<Composer>);
@@ -38,10 +38,10 @@
         }
         news.limits.iter().for_each(|limit| notices::apply_from_peer(&self.0.core, limit));
         if !news.ends.is_empty() {
-            judge::receive_ends(&self.0.core, &news.ends);
+            diagnose::receive_ends(&self.0.core, &news.ends);
         }
-        for verdict in news.verdicts {
-            judge::receive_verdict(&self.0.core, verdict);
+        for diagnosis in news.diagnoses {
+            diagnose::receive_diagnosis(&self.0.core, diagnosis);
         }
         news.origins.into_iter().for_each(|begun| origin::told(&self.0.core, begun));
         let mut subjects = self.0.core.subjects();
@@ -64,7 +64,7 @@
     }
 
     async fn parts(&self, query: PartQuery) -> PartAnswer {
-        judge::answer(&self.0.core, &query)
+        diagnose::answer(&self.0.core, &query)
     }
 
     async fn connect(&self, target: &str) -> Option<TcpStream> {
--- a/crates/edge/src/core.rs
+++ b/crates/edge/src/core.rs
@@ -67,7 +67,7 @@
     poison_parts: Mutex<PoisonParts>,
     sound_parts: Mutex<SoundParts>,
     ends: Mutex<Ends>,
-    /// Notifies that there are new ends of engines to judge by.
+    /// Notifies that there are new ends of engines.
     pub(crate) ends_due: Notify,
     /// Notifies of parts of prompts that are refused from now on.
     parts_found: watch::Sender<()>,
--- a/crates/edge/src/core/parts.rs
+++ b/crates/edge/src/core/parts.rs
@@ -4,7 +4,7 @@
 use catalog::{Finding, PoisonParts, Position};
 use logs::note;
 use sched::sound::SoundParts;
-use sched::suspects::{Ends, Verdict};
+use sched::suspects::{Diagnosis, Ends};
 use std::sync::MutexGuard;
 use tokio::sync::watch;
 
@@ -56,9 +56,9 @@
 
     /// Refuses requests with a part from now on, as this host or another has found. Returns whether
     /// that is new.
-    pub(crate) fn convict(&self, part: u64, targets: &[TargetId]) -> bool {
-        // Also if the table is full: the same ends would convict it again and again.
-        self.ends().convicted(part);
+    pub(crate) fn quarantine(&self, part: u64, targets: &[TargetId]) -> bool {
+        // Also if the table is full: the same ends would quarantine it again and again.
+        self.ends().quarantined(part);
         match self.poison_parts().found(part) {
             Finding::New => {}
             Finding::Known => return false,
@@ -79,7 +79,7 @@
     pub(crate) fn apply_parts(&self, position: Position, listed: &[u64]) {
         let Some(changes) = self.poison_parts().apply(position, listed) else { return };
         for part in &changes.added {
-            self.ends().convicted(*part);
+            self.ends().quarantined(*part);
             self.part_found(*part);
         }
         for part in &changes.lifted {
@@ -97,14 +97,14 @@
     }
 
     /// Logs why a part is refused, at the host that found it.
-    pub(crate) fn note_verdict(&self, verdict: &Verdict, others: u64) {
-        let targets: Vec<&str> = verdict.targets.iter().map(TargetId::as_str).collect();
+    pub(crate) fn note_diagnosis(&self, diagnosis: &Diagnosis, others: u64) {
+        let targets: Vec<&str> = diagnosis.targets.iter().map(TargetId::as_str).collect();
         note!(
             logs::Event::PartFound,
-            part = format!("{:x}", verdict.part),
+            part = format!("{:x}", diagnosis.part),
             targets = targets.join(","),
-            episodes = verdict.episodes,
-            known = verdict.known,
+            episodes = diagnosis.episodes,
+            known = diagnosis.known,
             others
         );
     }
--- a/crates/edge/src/judge.rs
+++ b/crates/edge/src/diagnose.rs
@@ -1,18 +1,18 @@
 //! Finds the parts of prompts that end engines, together with the other hosts. See
 //! [`sched::suspects`].
 //!
-//! Each host reports the ends of engines that it sees to a few hosts, the witnesses. The first of
-//! these ask all hosts about the parts that are suspected, and tell all of a part that is convicted.
+//! Each host reports the ends of engines that it sees to a few hosts, the collectors. The first of
+//! these ask all hosts about the parts that are suspected, and tell all of a part that is quarantined.
 
 use base::{Ms, TargetId};
 use logs::note;
 use peer::ViewHost;
-use sched::suspects::{BrokenRequest, Candidate, JUDGES, PROBATION, Testimony, witnesses};
+use sched::suspects::{BrokenRequest, Candidate, DIAGNOSERS, Observed, PROBATION, collectors};
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 use tokio::sync::mpsc::UnboundedReceiver;
 use wire::{
-    HostNews, PartAnswer, PartQuery, PartVerdict, PromptParts, SeenPart, SuspectedPart, TargetEnd,
+    HostNews, PartAnswer, PartDiagnosis, PartQuery, PromptParts, SeenPart, SuspectedPart, TargetEnd,
 };
 
 use crate::core::Core;
@@ -21,12 +21,12 @@
 use crate::notify::collect;
 use crate::request::Call;
 
-/// Time for which ends are collected before the witnesses are told.
+/// Time for which ends are collected before the collectors are told.
 const END_WINDOW: Ms = Ms(50);
 /// Time after the news of an end within which other hosts have reported theirs: they collect them,
 /// and a way between regions takes some tens of ms.
 const GATHER_TIME: Ms = Ms(250);
-/// Time that a judge leaves to each one before it.
+/// Time that the host whose turn it is gets before the next one looks too.
 const TURN_TIME: Ms = Ms(1_000);
 
 /// The end of an engine during a request, to be reported.
@@ -72,7 +72,7 @@
     }
 }
 
-/// Tells the witnesses of the ends that this host has seen.
+/// Tells the collectors of the ends that this host has seen.
 pub(crate) async fn ends(core: Arc<Core>, mut queue: UnboundedReceiver<EngineEnd>) {
     while let Some(seen) = collect(&mut queue, END_WINDOW).await {
         let mut by_target: BTreeMap<TargetId, Vec<PromptParts>> = BTreeMap::new();
@@ -89,14 +89,14 @@
         let ends: Vec<TargetEnd> = by_target.into_iter().map(to_wire).collect();
         receive_ends(&core, &ends);
         // One that does not answer must not delay the news of the next ends.
-        tokio::spawn(tell_witnesses(core.clone(), ends));
+        tokio::spawn(tell_collectors(core.clone(), ends));
     }
 }
 
-async fn tell_witnesses(core: Arc<Core>, ends: Vec<TargetEnd>) {
+async fn tell_collectors(core: Arc<Core>, ends: Vec<TargetEnd>) {
     let hosts = core.members.hosts();
     let news = HostNews { ends, ..HostNews::default() };
-    let others = witnesses(hosts.iter(), host_name).into_iter().filter(|h| !is_me(&core, h));
+    let others = collectors(hosts.iter(), host_name).into_iter().filter(|h| !is_me(&core, h));
     let calls = others.map(|h| core.members.notify_one(&h.host, h.address, news.clone()));
     futures::future::join_all(calls).await;
 }
@@ -116,7 +116,7 @@
     core.ends_due.notify_one();
 }
 
-/// Judges the parts that are suspected, whenever there are new ends and it is this host's turn.
+/// Looks for the part that is the cause, whenever there are new ends and it is this host's turn.
 pub(crate) async fn follow(core: Arc<Core>) {
     loop {
         core.ends_due.notified().await;
@@ -125,69 +125,69 @@
         if turn > 0 {
             tokio::time::sleep(TURN_TIME.scale(turn, 1).duration()).await;
         }
-        // The ends that one part leaves unexplained may convict another.
-        while judge(&core).await {}
+        // The ends that one part leaves unexplained may lead to another.
+        while diagnose(&core).await {}
     }
 }
 
-/// This host's place among the judges.
+/// This host's place among those that look for the cause.
 fn turn(core: &Core) -> Option<u64> {
     let hosts = core.members.hosts();
-    let chosen = witnesses(hosts.iter(), host_name);
-    let place = chosen.into_iter().take(JUDGES).position(|host| is_me(core, host))?;
+    let chosen = collectors(hosts.iter(), host_name);
+    let place = chosen.into_iter().take(DIAGNOSERS).position(|host| is_me(core, host))?;
     Some(place as u64)
 }
 
-/// Convicts one part, if there is enough evidence. Returns whether there was.
-async fn judge(core: &Arc<Core>) -> bool {
+/// Quarantines one part, if there is enough evidence. Returns whether there was.
+async fn diagnose(core: &Arc<Core>) -> bool {
     let candidates = core.ends().candidates();
     if candidates.is_empty() {
         return false;
     }
     let told = ask_all(core, &candidates).await;
-    let verdict = core.ends().judge(&told);
-    let Some(verdict) = verdict else {
+    let diagnosis = core.ends().diagnose(&told);
+    let Some(diagnosis) = diagnosis else {
         dismiss(core, &told);
         return false;
     };
-    let others = told.get(&verdict.part).map_or(0, |told| told.others);
-    core.note_verdict(&verdict, others);
-    core.convict(verdict.part, &verdict.targets);
-    let targets = verdict.targets.iter().map(|target| target.as_str().to_owned()).collect();
-    tell_all(core, PartVerdict { part: verdict.part, targets }).await;
+    let others = told.get(&diagnosis.part).map_or(0, |told| told.others);
+    core.note_diagnosis(&diagnosis, others);
+    core.quarantine(diagnosis.part, &diagnosis.targets);
+    let targets = diagnosis.targets.iter().map(|target| target.as_str().to_owned()).collect();
+    tell_all(core, PartDiagnosis { part: diagnosis.part, targets }).await;
     true
 }
 
 /// Drops the evidence that sound answers refute.
-fn dismiss(core: &Core, told: &HashMap<u64, Testimony>) {
+fn dismiss(core: &Core, told: &HashMap<u64, Observed>) {
     let mut ends = core.ends();
     for (part, told) in told {
-        told.sound.into_iter().for_each(|sound| ends.acquitted(*part, sound));
+        told.sound.into_iter().for_each(|sound| ends.cleared(*part, sound));
     }
 }
 
-async fn tell_all(core: &Core, verdict: PartVerdict) {
-    core.members.notify_all(HostNews { verdicts: vec![verdict], ..HostNews::default() }).await;
+async fn tell_all(core: &Core, diagnosis: PartDiagnosis) {
+    core.members.notify_all(HostNews { diagnoses: vec![diagnosis], ..HostNews::default() }).await;
 }
 
-/// Applies what another host has found. A judge passes it on: it may reach hosts that the other one
+/// Applies what another host has found. A host whose turn it may be passes it on: it may reach hosts that the other one
 /// does not.
-pub(crate) fn receive_verdict(core: &Arc<Core>, verdict: PartVerdict) {
-    let targets: Vec<TargetId> = verdict.targets.iter().map(|t| t.as_str().into()).collect();
-    let is_new = core.convict(verdict.part, &targets);
+pub(crate) fn receive_diagnosis(core: &Arc<Core>, diagnosis: PartDiagnosis) {
+    let targets: Vec<TargetId> = diagnosis.targets.iter().map(|t| t.as_str().into()).collect();
+    let is_new = core.quarantine(diagnosis.part, &targets);
     if is_new && turn(core).is_some() {
         let core = core.clone();
-        tokio::spawn(async move { tell_all(&core, verdict).await });
+        tokio::spawn(async move { tell_all(&core, diagnosis).await });
     }
 }
 
 /// Asks all hosts about parts.
-async fn ask_all(core: &Arc<Core>, candidates: &[Candidate]) -> HashMap<u64, Testimony> {
+async fn ask_all(core: &Arc<Core>, candidates: &[Candidate]) -> HashMap<u64, Observed> {
     let now = core.clock.now();
     let suspect = |c: &Candidate| SuspectedPart { part: c.part, since_ms: (now - c.since).0 };
     let query = PartQuery { parts: candidates.iter().map(suspect).collect() };
     let own = answer(core, &query);
-    let mut told: HashMap<u64, Testimony> = HashMap::new();
+    let mut told: HashMap<u64, Observed> = HashMap::new();
     add(&mut told, &query, own, now);
     let hosts = core.members.hosts();
     let others: Vec<&ViewHost> = hosts.iter().filter(|h| !is_me(core, h)).collect();
@@ -207,7 +207,7 @@
     })
 }
 
-fn add(told: &mut HashMap<u64, Testimony>, query: &PartQuery, answer: PartAnswer, now: Ms) {
+fn add(told: &mut HashMap<u64, Observed>, query: &PartQuery, answer: PartAnswer, now: Ms) {
     for (suspect, seen) in query.parts.iter().zip(answer.parts) {
         let sum = told.entry(suspect.part).or_default();
         sum.sound = sum.sound.max(seen.sound_ms.map(|age| now - Ms(age)));
--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -23,7 +23,7 @@
 use crate::metrics::Metrics;
 use crate::settings::Settings;
 use crate::{
-    accept, builds, evacuate, follow, judge, notify, origin, parts, pause, reload, source,
+    accept, builds, diagnose, evacuate, follow, notify, origin, parts, pause, reload, source,
 };
 
 /// Time for which a stopping host still accepts requests. The platform checks readiness every
@@ -138,8 +138,8 @@
             tokio::spawn(evacuate::follow(core.clone(), directory.clone())),
             tokio::spawn(builds::follow(core.clone())),
             tokio::spawn(parts::follow(core.clone())),
-            tokio::spawn(judge::ends(core.clone(), outbox.ends)),
-            tokio::spawn(judge::follow(core.clone())),
+            tokio::spawn(diagnose::ends(core.clone(), outbox.ends)),
+            tokio::spawn(diagnose::follow(core.clone())),
             tokio::spawn(origin::tell(core.clone())),
             tokio::spawn(source::follow(core.clone(), directory)),
             tokio::spawn(reload::follow(core.clone(), path, changed)),
--- a/crates/edge/src/members.rs
+++ b/crates/edge/src/members.rs
@@ -12,7 +12,7 @@
 use tokio::sync::mpsc;
 use wire::{Crash, HostNews, PromptSent, TargetLimit};
 
-use crate::judge::EngineEnd;
+use crate::diagnose::EngineEnd;
 use crate::settings::Settings;
 
 /// Time-out of a call between hosts. The round trip takes up to about 40 ms, and a small host may
--- a/crates/edge/src/relay/attempt.rs
+++ b/crates/edge/src/relay/attempt.rs
@@ -13,7 +13,7 @@
 use crate::links::Link;
 use crate::plain::{headers, report_crash};
 use crate::send::{Answered, IfClosed, SendFault, Wait, send};
-use crate::{judge, restart};
+use crate::{diagnose, restart};
 
 /// Most engines that a request is sent to, including those that did not run it.
 const MAX_ENGINES: usize = 4;
@@ -67,7 +67,7 @@
         self.tried.push(link.clone());
         // Also for a stream that can't be resumed: its connection may carry one that can.
         if !restart::is_same(&self.core, &link, &self.call.residency).await {
-            judge::target_gone(&self.core, &link);
+            diagnose::target_gone(&self.core, &link);
             return Sent::NotRun;
         }
         let tokens = self.call.head.own_tokens();
@@ -204,9 +204,9 @@
         match fault {
             SendFault::Broken => {
                 report_crash(&self.core, &self.call, link);
-                judge::engine_ended(&self.core, &self.call, link, sent, answering);
+                diagnose::engine_ended(&self.core, &self.call, link, sent, answering);
             }
-            SendFault::NoConnection => judge::target_gone(&self.core, link),
+            SendFault::NoConnection => diagnose::target_gone(&self.core, link),
             SendFault::Blocked(_) | SendFault::Silent | SendFault::Mismatch => {}
         }
     }
--- a/crates/edge/src/relay/forward.rs
+++ b/crates/edge/src/relay/forward.rs
@@ -13,7 +13,7 @@
 use crate::body::Truncated;
 use crate::events::Parsed;
 use crate::send::SendFault;
-use crate::{judge, origin, subjects};
+use crate::{diagnose, origin, subjects};
 
 impl Relay {
     /// The next events; none at the end of the stream.
@@ -86,7 +86,7 @@
         let Some(open) = self.open.as_mut().filter(|o| !o.sound) else { return };
         if now - open.begun >= PROBATION {
             open.sound = true;
-            judge::answer_is_sound(&self.core, &self.call, open.begun);
+            diagnose::answer_is_sound(&self.core, &self.call, open.begun);
         }
     }
 
@@ -95,10 +95,10 @@
     fn record_end(&self, open: &OpenStream) {
         match () {
             () if open.sound => {}
-            () if open.framed => judge::answer_is_sound(&self.core, &self.call, open.begun),
+            () if open.framed => diagnose::answer_is_sound(&self.core, &self.call, open.begun),
             () => {
                 let now = self.core.clock.now();
-                open.link.add_unproved(now, judge::shared_parts(&self.call));
+                open.link.add_unproved(now, diagnose::shared_parts(&self.call));
                 return;
             }
         }
--- a/crates/model/src/parts.rs
+++ b/crates/model/src/parts.rs
@@ -9,7 +9,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use sched::sound::SoundParts;
-use sched::suspects::{BrokenRequest, Ends, PROBATION, Testimony};
+use sched::suspects::{BrokenRequest, Ends, Observed, PROBATION};
 use std::collections::{HashMap, HashSet};
 
 /// Simulated time.
@@ -30,9 +30,9 @@
 const DOWN: Ms = Ms::secs(4);
 /// Time until other hosts know of an end.
 const TELL_TIME: Ms = Ms(100);
-/// Time from an end until it is judged, and all know of the verdict.
-const JUDGE_TIME: Ms = Ms(400);
-/// Ends after which a part is convicted by the designs that only count.
+/// Time from an end until all hosts know its cause.
+const DIAGNOSE_TIME: Ms = Ms(400);
+/// Ends after which a part is quarantined by the designs that only count.
 const COUNTED_ENDS: usize = 4;
 /// Number of first parts, and of parts of sessions.
 const FIRST_PARTS: u64 = 3;
@@ -55,7 +55,7 @@
     /// The same, and a sound answer at any host, of which all are told, resets the count.
     Cleared,
     /// See [`sched::suspects`].
-    Judged,
+    Diagnosed,
 }
 
 /// Parameters of one simulation.
@@ -130,7 +130,7 @@
         cleared: HashMap::new(),
         ends: Ends::default(),
         sound: SoundParts::default(),
-        judge_at: None,
+        diagnose_at: None,
         known: HashSet::new(),
         first_end: None,
         fifth_end: None,
@@ -155,7 +155,7 @@
     cleared: HashMap<u64, Ms>,
     ends: Ends,
     sound: SoundParts,
-    judge_at: Option<Ms>,
+    diagnose_at: Option<Ms>,
     /// Refused parts by host (0 where all know the same).
     known: HashSet<(usize, u64)>,
     first_end: Option<Ms>,
@@ -176,9 +176,9 @@
         for engine in 0..self.engines.len() {
             self.run_engine(now, engine);
         }
-        if self.judge_at.is_some_and(|at| now >= at) {
-            self.judge_at = None;
-            while self.judge(now) {}
+        if self.diagnose_at.is_some_and(|at| now >= at) {
+            self.diagnose_at = None;
+            while self.diagnose(now) {}
         }
     }
 
@@ -282,8 +282,8 @@
         for key in seen {
             *self.counted.entry(key).or_default() += 1;
         }
-        let delay = if self.design == Design::Judged { JUDGE_TIME } else { TELL_TIME };
-        self.judge_at.get_or_insert(now + delay);
+        let delay = if self.design == Design::Diagnosed { DIAGNOSE_TIME } else { TELL_TIME };
+        self.diagnose_at.get_or_insert(now + delay);
         for job in jobs.into_iter().filter(|job| job.sends < SENDS) {
             if !self.refuses(&job) {
                 self.send(now, job);
@@ -291,36 +291,36 @@
         }
     }
 
-    /// Convicts parts. Returns whether there may be more.
-    fn judge(&mut self, now: Ms) -> bool {
-        if self.design == Design::Judged {
-            return self.judge_together(now);
+    /// Quarantines parts. Returns whether there may be more.
+    fn diagnose(&mut self, now: Ms) -> bool {
+        if self.design == Design::Diagnosed {
+            return self.diagnose_together(now);
         }
-        let convicted = self.counted.iter().filter(|(_, ends)| **ends >= COUNTED_ENDS);
-        let convicted: Vec<(usize, u64)> = convicted.map(|(key, _)| *key).collect();
-        self.known.extend(convicted);
+        let quarantined = self.counted.iter().filter(|(_, ends)| **ends >= COUNTED_ENDS);
+        let quarantined: Vec<(usize, u64)> = quarantined.map(|(key, _)| *key).collect();
+        self.known.extend(quarantined);
         self.note_found(now);
         false
     }
 
-    fn judge_together(&mut self, now: Ms) -> bool {
-        let told: HashMap<u64, Testimony> = self
+    fn diagnose_together(&mut self, now: Ms) -> bool {
+        let told: HashMap<u64, Observed> = self
             .ends
             .candidates()
             .into_iter()
             .map(|c| {
                 let others = self.sound.since(c.since) as u64;
-                (c.part, Testimony { sound: self.sound.last(c.part), others })
+                (c.part, Observed { sound: self.sound.last(c.part), others })
             })
             .collect();
-        let Some(verdict) = self.ends.judge(&told) else {
+        let Some(diagnosis) = self.ends.diagnose(&told) else {
             for (part, told) in &told {
-                told.sound.into_iter().for_each(|sound| self.ends.acquitted(*part, sound));
+                told.sound.into_iter().for_each(|sound| self.ends.cleared(*part, sound));
             }
             return false;
         };
-        self.ends.convicted(verdict.part);
-        self.known.insert((0, verdict.part));
+        self.ends.quarantined(diagnosis.part);
+        self.known.insert((0, diagnosis.part));
         self.note_found(now);
         true
     }
--- a/crates/model/tests/parts.rs
+++ b/crates/model/tests/parts.rs
@@ -9,9 +9,9 @@
 }
 
 #[test]
-fn judged_together_the_part_is_found_and_no_sound_request_refused() {
+fn diagnosed_together_the_part_is_found_and_no_sound_request_refused() {
     for scenario in [SMALL, Scenario { parts: 3, ..SMALL }, Scenario { bad: 60, ..SMALL }] {
-        let figures = run(Design::Judged, scenario);
+        let figures = run(Design::Diagnosed, scenario);
         assert!(figures.found.is_some(), "{figures:?}");
         assert_eq!((figures.late, figures.refused), (0, 0), "{figures:?}");
     }
@@ -32,7 +32,7 @@
 #[test]
 fn without_a_bad_part_nothing_is_refused() {
     let calm = Scenario { bad: 0, ..SMALL };
-    for design in [Design::Own, Design::Told, Design::Cleared, Design::Judged] {
+    for design in [Design::Own, Design::Told, Design::Cleared, Design::Diagnosed] {
         assert_eq!(run(design, calm), Figures::default());
     }
 }
--- a/crates/sched/src/suspects.rs
+++ b/crates/sched/src/suspects.rs
@@ -6,9 +6,10 @@
 //! it with it.
 //!
 //! So ends are counted by part. Each end of an engine names the shared parts of all requests that it
-//! had not answered for [`PROBATION`]; all hosts report what was theirs to the same few, which judge.
+//! had not answered for [`PROBATION`]; all hosts report what was theirs to the same few, which find
+//! the cause.
 //! Sound requests share their first parts, callers and engines with the bad ones, therefore a part is
-//! convicted only if
+//! quarantined only if
 //!
 //! - several engines have ended with it, and not all at the same moment, as in an outage,
 //! - no host has seen a sound answer with it that began after the first of these ends,
@@ -16,7 +17,7 @@
 //! - and, if it ever had a sound answer, engines serve other parts meanwhile: an outage of everything
 //!   is nobody's fault.
 //!
-//! Ends that a convicted part explains are no evidence against others. A request that crashes engines
+//! Ends that a quarantined part explains are no evidence against others. A request that crashes engines
 //! by what only it has is found by [`crate::poison`].
 
 use base::{Ms, TargetId, hash_parts};
@@ -28,9 +29,9 @@
 pub const PROBATION: Ms = Ms::secs(2);
 /// Number of hosts that are told of ends, in a larger fleet: if half of a fleet is killed, one of
 /// them is left but once in sixty times.
-pub const WITNESSES: usize = 6;
-/// Number of these that judge, unless those before them fail.
-pub const JUDGES: usize = 2;
+pub const COLLECTORS: usize = 6;
+/// Number of these that look for the cause.
+pub const DIAGNOSERS: usize = 2;
 /// Number of suspected parts that hosts are asked about at once: the ones with the most ends.
 const MAX_CANDIDATES: usize = 32;
 /// Ends of engines that are remembered: about 1 KB each.
@@ -57,7 +58,7 @@
 /// end within a moment, and the next episode has to wait until they are back.
 const ENDS_FOR_EPISODE: usize = 2;
 
-/// The evidence that convicts a part.
+/// The evidence by which a part is quarantined.
 struct Threshold {
     ends: usize,
     episodes: usize,
@@ -81,13 +82,13 @@
 pub struct Candidate {
     /// The part.
     pub part: u64,
-    /// Since when its newest ends, as many as convict a known part, have happened.
+    /// Since when its newest ends, as many as it takes for a known part, have happened.
     pub since: Ms,
 }
 
 /// What all hosts together know of a candidate.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Testimony {
+pub struct Observed {
     /// When the last sound answer with it began; none if no host remembers one.
     pub sound: Option<Ms>,
     /// Sound answers, with other parts, that began since [`Candidate::since`].
@@ -96,7 +97,7 @@
 
 /// A part that ends engines.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Verdict {
+pub struct Diagnosis {
     /// The part.
     pub part: u64,
     /// The incarnations of engines that have ended with it.
@@ -127,7 +128,7 @@
     target: TargetId,
     /// Shared parts of the requests on it, each with its last place in a prompt.
     parts: HashMap<u64, usize>,
-    /// Whether a convicted part was among them.
+    /// Whether a quarantined part was among them.
     explained: bool,
 }
 
@@ -135,8 +136,8 @@
 #[derive(Debug, Default)]
 pub struct Ends {
     ends: VecDeque<End>,
-    /// Convicted parts; they explain the ends to come too.
-    convicted: HashSet<u64>,
+    /// Quarantined parts; they explain the ends to come too.
+    quarantined: HashSet<u64>,
 }
 
 impl Ends {
@@ -157,11 +158,11 @@
         for (place, part) in broken.parts.iter().enumerate() {
             let last = end.parts.entry(*part).or_default();
             *last = place.max(*last);
-            end.explained |= self.convicted.contains(part);
+            end.explained |= self.quarantined.contains(part);
         }
     }
 
-    /// The parts that may have to be convicted, those with the most ends first.
+    /// The parts that may have to be quarantined, those with the most ends first.
     pub fn candidates(&self) -> Vec<Candidate> {
         let mut ends: BTreeMap<u64, Vec<Ms>> = BTreeMap::new();
         for end in &self.ends {
@@ -176,43 +177,43 @@
         ends.into_iter().map(|(part, at)| Candidate { part, since: since(&at) }).collect()
     }
 
-    /// The part to convict, by what hosts have told of the candidates.
-    pub fn judge(&self, told: &HashMap<u64, Testimony>) -> Option<Verdict> {
+    /// The part to quarantine, by what hosts have told of the candidates.
+    pub fn diagnose(&self, told: &HashMap<u64, Observed>) -> Option<Diagnosis> {
         let cases: Vec<Case> = told.iter().map(|(part, told)| self.case(*part, *told)).collect();
         let (known, new): (Vec<&Case>, Vec<&Case>) = cases.iter().partition(|c| c.known);
         let narrower =
             |a: &Case, b: &Case| b.place > a.place && LEAST_RIVAL * b.ends.len() >= a.ends.len();
         let narrowest = |c: &&&Case| new.iter().all(|other| !narrower(c, other));
-        let convicted = new.iter().filter(|c| c.convicts()).filter(narrowest);
-        if let Some(case) = convicted.max_by_key(|c| c.rank()) {
-            return Some(case.verdict());
+        let quarantined = new.iter().filter(|c| c.is_proved()).filter(narrowest);
+        if let Some(case) = quarantined.max_by_key(|c| c.rank()) {
+            return Some(case.diagnosis());
         }
-        let most = known.iter().filter(|c| c.convicts()).map(|c| c.ends.len()).max()?;
+        let most = known.iter().filter(|c| c.is_proved()).map(|c| c.ends.len()).max()?;
         // A new part that explains much may be about to explain more.
         if new.iter().any(|case| 2 * case.ends.len() >= most) {
             return None;
         }
-        let equal = |c: &&&Case| c.convicts() && 100 * c.ends.len() >= EQUAL_PERCENT * most;
+        let equal = |c: &&&Case| c.is_proved() && 100 * c.ends.len() >= EQUAL_PERCENT * most;
         let case = known.iter().filter(equal).max_by_key(|c| (c.place, c.rank()))?;
-        Some(case.verdict())
+        Some(case.diagnosis())
     }
 
-    /// Marks the ends that a convicted part explains.
-    pub fn convicted(&mut self, part: u64) {
-        self.convicted.insert(part);
+    /// Marks the ends that a quarantined part explains.
+    pub fn quarantined(&mut self, part: u64) {
+        self.quarantined.insert(part);
         self.ends.iter_mut().for_each(|end| end.explained |= end.parts.contains_key(&part));
     }
 
     /// Drops the evidence against a part up to `sound`, when a sound answer with it began.
-    pub fn acquitted(&mut self, part: u64, sound: Ms) {
+    pub fn cleared(&mut self, part: u64, sound: Ms) {
         for end in self.ends.iter_mut().filter(|end| end.at <= sound) {
             end.parts.remove(&part);
         }
     }
 
-    /// Forgets all that spoke against a part: an operator has lifted its conviction.
+    /// Forgets all that spoke against a part: an operator has lifted its quarantine.
     pub fn lifted(&mut self, part: u64) {
-        self.convicted.remove(&part);
+        self.quarantined.remove(&part);
         self.ends.retain(|end| !end.parts.contains_key(&part));
     }
 
@@ -220,7 +221,7 @@
         self.ends.iter().filter(|end| !end.explained)
     }
 
-    fn case(&self, part: u64, told: Testimony) -> Case<'_> {
+    fn case(&self, part: u64, told: Observed) -> Case<'_> {
         let after = |end: &&End| told.sound.is_none_or(|sound| sound < end.at);
         let counted = self.ends.iter().filter(|end| end.parts.contains_key(&part)).filter(after);
         let ends: Vec<&End> = counted.collect();
@@ -252,14 +253,14 @@
     /// Ends with it since its last sound answer.
     ends: Vec<&'a End>,
     episodes: usize,
-    /// Ends between the first and the last of them that no convicted part explains.
+    /// Ends between the first and the last of them that no quarantined part explains.
     rivals: usize,
     known: bool,
     others: u64,
 }
 
 impl Case<'_> {
-    fn convicts(&self) -> bool {
+    fn is_proved(&self) -> bool {
         let threshold = if self.known { KNOWN_PART } else { NEW_PART };
         let open = self.ends.iter().filter(|end| !end.explained).count();
         let enough = threshold.is_reached(self.ends.len(), self.episodes);
@@ -273,8 +274,8 @@
         (self.ends.len(), self.place, self.part)
     }
 
-    fn verdict(&self) -> Verdict {
-        Verdict {
+    fn diagnosis(&self) -> Diagnosis {
+        Diagnosis {
             part: self.part,
             targets: self.ends.iter().map(|end| end.target.clone()).collect(),
             episodes: self.episodes,
@@ -296,13 +297,13 @@
 }
 
 /// The hosts that are told of ends, the same ones in the same order for all that see the same hosts.
-/// The first ones judge.
-pub fn witnesses<'a, T>(
+/// The first ones look for the cause.
+pub fn collectors<'a, T>(
     hosts: impl IntoIterator<Item = &'a T>,
     name: impl Fn(&T) -> &str,
 ) -> Vec<&'a T> {
     let mut chosen: Vec<&T> = hosts.into_iter().collect();
-    chosen.sort_by_cached_key(|host| hash_parts(&[b"witness", name(host).as_bytes()]));
-    chosen.truncate(WITNESSES);
+    chosen.sort_by_cached_key(|host| hash_parts(&[b"collector", name(host).as_bytes()]));
+    chosen.truncate(COLLECTORS);
     chosen
 }
--- a/crates/sched/tests/suspects.rs
+++ b/crates/sched/tests/suspects.rs
@@ -2,7 +2,7 @@
 
 use base::{Ms, TargetId};
 use sched::sound::SoundParts;
-use sched::suspects::{BrokenRequest, Ends, Testimony, Verdict, WITNESSES, witnesses};
+use sched::suspects::{BrokenRequest, COLLECTORS, Diagnosis, Ends, Observed, collectors};
 use std::collections::HashMap;
 
 /// A first part that all prompts share.
@@ -30,16 +30,16 @@
         }
     }
 
-    /// The verdict if sound answers began at these times, and `others` more.
-    fn judge(&self, sound: &[(u64, u64)], others: u64) -> Option<Verdict> {
+    /// The diagnosis if sound answers began at these times, and `others` more.
+    fn diagnose(&self, sound: &[(u64, u64)], others: u64) -> Option<Diagnosis> {
         let sound: HashMap<u64, Ms> = sound.iter().map(|(part, at)| (*part, Ms(*at))).collect();
-        let told = |part: u64| Testimony { sound: sound.get(&part).copied(), others };
+        let told = |part: u64| Observed { sound: sound.get(&part).copied(), others };
         let candidates = self.ends.candidates();
-        self.ends.judge(&candidates.iter().map(|c| (c.part, told(c.part))).collect())
+        self.ends.diagnose(&candidates.iter().map(|c| (c.part, told(c.part))).collect())
     }
 
     fn part(&self, sound: &[(u64, u64)], others: u64) -> Option<u64> {
-        self.judge(sound, others).map(|verdict| verdict.part)
+        self.diagnose(sound, others).map(|diagnosis| diagnosis.part)
     }
 }
 
@@ -54,15 +54,15 @@
 
 // Guards against requests with one part, no two alike, that nothing counts together.
 #[test]
-fn a_part_with_which_four_engines_end_is_convicted() {
-    assert_eq!(spell(3).judge(&[], 0), None);
-    let verdict = spell(4).judge(&[], 0).unwrap();
-    assert_eq!((verdict.part, verdict.targets.len(), verdict.episodes), (BAD, 4, 4));
+fn a_part_with_which_four_engines_end_is_quarantined() {
+    assert_eq!(spell(3).diagnose(&[], 0), None);
+    let diagnosis = spell(4).diagnose(&[], 0).unwrap();
+    assert_eq!((diagnosis.part, diagnosis.targets.len(), diagnosis.episodes), (BAD, 4, 4));
 }
 
 // Guards against the refusal of all requests that share a first part with the bad ones.
 #[test]
-fn a_part_with_sound_answers_in_between_is_not_convicted() {
+fn a_part_with_sound_answers_in_between_is_not_quarantined() {
     let mut spell = Spell::default();
     for n in 0..20 {
         spell.end(10_000 + 1_000 * n, &[&[FIRST, 100 + n]]);
@@ -77,9 +77,9 @@
     assert_eq!(spell(8).part(&[(FIRST, 9_000)], 0), Some(BAD));
 }
 
-// Guards against a verdict by an outage: all engines end at one moment, with all parts.
+// Guards against a diagnosis by an outage: all engines end at one moment, with all parts.
 #[test]
-fn engines_that_end_at_one_moment_convict_no_part() {
+fn engines_that_end_at_one_moment_quarantine_no_part() {
     let mut spell = Spell::default();
     for n in 0..40 {
         spell.end(10_000 + n, &[&[FIRST, BAD], &[FIRST, 7]]);
@@ -90,7 +90,7 @@
 // Guards against the refusal of everything while no engine works: a first part with sound answers in
 // the past is on all of them.
 #[test]
-fn engines_that_all_end_again_and_again_convict_no_known_part() {
+fn engines_that_all_end_again_and_again_quarantine_no_known_part() {
     let mut spell = Spell::default();
     for n in 0..40 {
         spell.end(10_000 + 400 * n, &[&[FIRST, 100 + n]]);
@@ -100,7 +100,7 @@
 
 // Guards against a part that engines answered until a new version of their software came.
 #[test]
-fn a_part_that_had_sound_answers_is_convicted_by_more_ends() {
+fn a_part_that_had_sound_answers_is_quarantined_by_more_ends() {
     let known = [(FIRST, 14_500), (BAD, 9_000)];
     assert_eq!(spell(4).part(&known, 10), None);
     assert_eq!(spell(6).part(&known, 10), Some(BAD));
@@ -116,38 +116,38 @@
         spell.end(10_500 + 1_000 * n, &[&[FIRST, ALSO_BAD]]);
     }
     let first = spell.part(&[], 0).unwrap();
-    spell.ends.convicted(first);
+    spell.ends.quarantined(first);
     let second = spell.part(&[], 0).unwrap();
-    spell.ends.convicted(second);
+    spell.ends.quarantined(second);
     assert_eq!([first.min(second), first.max(second)], [BAD, ALSO_BAD]);
     assert_eq!(spell.part(&[], 0), None);
 }
 
-// Guards against verdicts on parts whose requests were on the engines that a bad one has ended.
+// Guards against diagnoses on parts whose requests were on the engines that a bad one has ended.
 #[test]
-fn ends_that_a_convicted_part_explains_convict_no_other() {
+fn ends_that_a_quarantined_part_explains_count_against_no_other() {
     let mut spell = Spell::default();
     for n in 0..6 {
         spell.end(10_000 + 1_000 * n, &[&[FIRST, BAD], &[FIRST, 7]]);
     }
     spell.end(17_000, &[&[FIRST, BAD]]);
     assert_eq!(spell.part(&[], 0), Some(BAD));
-    spell.ends.convicted(BAD);
+    spell.ends.quarantined(BAD);
     assert_eq!(spell.part(&[], 0), None);
     spell.end(18_000, &[&[FIRST, BAD], &[FIRST, 7]]);
     assert_eq!(spell.part(&[], 0), None);
 }
 
-// Guards against a part that has to convict itself anew where requests have it as their first one:
+// Guards against a part that needs as many ends again where requests have it as their first one:
 // a second part that many of them share was taken for the cause.
 #[test]
-fn a_first_part_is_convicted_by_the_next_end() {
+fn a_first_part_is_quarantined_by_the_next_end() {
     let mut spell = Spell::default();
     for n in 0..4 {
         spell.end(10_000 + 1_000 * n, &[&[BAD, 7]]);
     }
     assert_eq!(spell.part(&[], 0), Some(7));
-    spell.ends.convicted(7);
+    spell.ends.quarantined(7);
     spell.end(15_000, &[&[BAD, 8]]);
     assert_eq!(spell.part(&[], 0), Some(BAD));
 }
@@ -163,8 +163,8 @@
         // One more of the same end.
         ends.record(&BrokenRequest { target: &target, parts: &[7], sent, at: at + Ms(30) });
     }
-    let told = ends.candidates().iter().map(|c| (c.part, Testimony::default())).collect();
-    assert_eq!(ends.judge(&told).unwrap().targets.len(), 4);
+    let told = ends.candidates().iter().map(|c| (c.part, Observed::default())).collect();
+    assert_eq!(ends.diagnose(&told).unwrap().targets.len(), 4);
 }
 
 // Guards against evidence that is asked about again at each end, though sound answers have refuted it.
@@ -172,25 +172,25 @@
 fn a_part_that_was_dismissed_needs_new_ends() {
     let mut spell = spell(5);
     assert!(spell.ends.candidates().iter().any(|c| c.part == FIRST));
-    spell.ends.acquitted(FIRST, Ms(14_500));
+    spell.ends.cleared(FIRST, Ms(14_500));
     assert!(spell.ends.candidates().iter().all(|c| c.part != FIRST));
 }
 
 #[test]
 fn a_lifted_part_needs_as_many_ends_as_before() {
     let mut spell = spell(5);
-    spell.ends.convicted(BAD);
+    spell.ends.quarantined(BAD);
     spell.ends.lifted(BAD);
     spell.end(20_000, &[&[FIRST, BAD]]);
     assert_eq!(spell.part(&[], 0), None);
 }
 
 #[test]
-fn all_hosts_choose_the_same_witnesses() {
+fn all_hosts_choose_the_same_collectors() {
     let hosts: Vec<String> = (0..50).map(|n| format!("edge-{n}")).collect();
-    let chosen = witnesses(&hosts, |h| h.as_str());
-    assert_eq!(chosen.len(), WITNESSES);
-    assert_eq!(chosen, witnesses(hosts.iter().rev(), |h| h.as_str()));
+    let chosen = collectors(&hosts, |h| h.as_str());
+    assert_eq!(chosen.len(), COLLECTORS);
+    assert_eq!(chosen, collectors(hosts.iter().rev(), |h| h.as_str()));
 }
 
 #[test]
@@ -207,7 +207,7 @@
 // Guards against a part that is found only when engines have come back twice: all of them end within
 // a moment where its requests come fast.
 #[test]
-fn many_ends_at_two_moments_convict_a_part() {
+fn many_ends_at_two_moments_quarantine_a_part() {
     let mut spell = Spell::default();
     for n in 0..3 {
         spell.end(10_000 + n, &[&[FIRST, BAD]]);
--- a/crates/wire/src/gen/siskinwheel.v1.rs
+++ b/crates/wire/src/gen/siskinwheel.v1.rs
@@ -889,7 +889,7 @@
     #[prost(message, repeated, tag = "6")]
     pub ends: ::prost::alloc::vec::Vec<TargetEnd>,
     #[prost(message, repeated, tag = "7")]
-    pub verdicts: ::prost::alloc::vec::Vec<PartVerdict>,
+    pub diagnoses: ::prost::alloc::vec::Vec<PartDiagnosis>,
 }
 /// An engine ended while it had requests that it may have begun to answer just before.
 #[derive(serde::Serialize, serde::Deserialize)]
@@ -921,7 +921,7 @@
 #[derive(serde::Serialize, serde::Deserialize)]
 #[serde(default)]
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
-pub struct PartVerdict {
+pub struct PartDiagnosis {
     #[prost(uint64, tag = "1")]
     pub part: u64,
     /// Engines that ended with it, identified as in TargetEnd.
