Only requests whose answer had begun count for the end of an engine

Change: a request counts only once its answer had begun; a part with sound answers in the past needs eight ends, has to explain three quarters of them, and waits for new parts that explain a third.

--- a/crates/edge/src/diagnose.rs
+++ b/crates/edge/src/diagnose.rs
@@ -41,7 +41,8 @@
 /// Records that a target ended, or seems to have, while it had a request that was sent at `sent` and
 /// that it had been answering for `answering`; none if it had not begun.
 pub(crate) fn engine_ended(core: &Core, call: &Call, link: &Link, sent: Ms, answering: Option<Ms>) {
-    if answering.is_none_or(|time| time < PROBATION) {
+    // A full engine resets connections too, before it answers: that is no end.
+    if answering.is_some_and(|time| time < PROBATION) {
         report(core, link, sent, shared_parts(call));
     }
     target_gone(core, link);
--- a/crates/model/src/parts.rs
+++ b/crates/model/src/parts.rs
@@ -271,7 +271,8 @@
         if self.figures.ends == KNOWN_AFTER as u64 {
             self.fifth_end = Some(now);
         }
-        let suspects = jobs.iter().filter(|job| now < job.begin + PROBATION);
+        let begun = |job: &&Job| now >= job.begin && now < job.begin + PROBATION;
+        let suspects = jobs.iter().filter(begun);
         let mut seen: HashSet<(usize, u64)> = HashSet::new();
         for job in suspects {
             let parts = &job.parts;
--- a/crates/sched/src/suspects.rs
+++ b/crates/sched/src/suspects.rs
@@ -6,7 +6,7 @@
 //! it with it.
 //!
 //! So ends are counted by part. Each end of an engine names the shared parts of all requests that it
-//! had not answered for [`PROBATION`]; all hosts report what was theirs to the same few, which find
+//! had begun to answer within [`PROBATION`]; all hosts report what was theirs to the same few, which find
 //! the cause.
 //! Sound requests share their first parts, callers and engines with the bad ones, therefore a part is
 //! quarantined only if
@@ -46,6 +46,9 @@
 const OTHER_ANSWERS: u64 = 3;
 /// A part must explain at least one in so many of the ends between its first and its last one.
 const LEAST_SHARE: usize = 4;
+/// The same, in percent, of a part that had sound answers: first parts are on many engines, and some
+/// of these end for another reason.
+const KNOWN_SHARE_PERCENT: usize = 75;
 /// A part that fewer prompts share, and that is on at least one in so many of the engines that ended
 /// with another part, comes first: two bad parts together look like the first part that both follow,
 /// and all requests with that one would be refused.
@@ -74,8 +77,9 @@
 /// For a part that no host remembers from a sound answer. A single request can't reach it, since it
 /// is sent to fewer engines.
 const NEW_PART: Threshold = Threshold { ends: 4, episodes: 3 };
-/// For one that had sound answers.
-const KNOWN_PART: Threshold = Threshold { ends: 5, episodes: 4 };
+/// For one that had sound answers: first parts are on all engines, and a wrong quarantine of one
+/// refuses a whole kind of requests.
+const KNOWN_PART: Threshold = Threshold { ends: 8, episodes: 4 };
 
 /// A part about which hosts are asked.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -190,7 +194,7 @@
         }
         let most = known.iter().filter(|c| c.is_proved()).map(|c| c.ends.len()).max()?;
         // A new part that explains much may be about to explain more.
-        if new.iter().any(|case| 2 * case.ends.len() >= most) {
+        if new.iter().any(|case| LEAST_RIVAL * case.ends.len() >= most) {
             return None;
         }
         let equal = |c: &&&Case| c.is_proved() && 100 * c.ends.len() >= EQUAL_PERCENT * most;
@@ -265,7 +269,11 @@
         let open = self.ends.iter().filter(|end| !end.explained).count();
         let enough = threshold.is_reached(self.ends.len(), self.episodes);
         let engines_work = !self.known || self.others >= OTHER_ANSWERS;
-        enough && open > 0 && LEAST_SHARE * open >= self.rivals && engines_work
+        let explains = match self.known {
+            true => 100 * open >= KNOWN_SHARE_PERCENT * self.rivals,
+            false => LEAST_SHARE * open >= self.rivals,
+        };
+        enough && open > 0 && explains && engines_work
     }
 
     /// Parts with more ends come first, and of two with the same ends the one that fewer prompts
