--- a/crates/model/src/parts.rs
+++ b/crates/model/src/parts.rs
@@ -78,7 +78,7 @@
 pub struct Figures {
     /// Engines that ended.
     pub ends: u64,
-    /// Bad requests sent to engines later than 4 s after the fifth end.
+    /// Bad requests sent to engines later than 4 s after the fifth end with their part.
     pub late: u64,
     /// Sound requests that came after the first end.
     pub asked: u64,
@@ -134,6 +134,7 @@
         known: HashSet::new(),
         first_end: None,
         fifth_end: None,
+        ended: HashMap::new(),
         figures: Figures::default(),
     };
     let mut now = Ms::ZERO;
@@ -160,6 +161,8 @@
     known: HashSet<(usize, u64)>,
     first_end: Option<Ms>,
     fifth_end: Option<Ms>,
+    /// Ends by bad part, each with the time of the last one up to the fifth.
+    ended: HashMap<u64, (usize, Ms)>,
     figures: Figures,
 }
 
@@ -227,8 +230,9 @@
         job.begin = now + Ms(self.rng.random_range(WAIT_MS));
         let lasts = if self.draw(3) == 0 { NOTE_MS } else { STREAM_MS };
         job.end = job.begin + Ms(self.rng.random_range(lasts));
-        let late = self.fifth_end.is_some_and(|fifth| now > fifth + KNOWN_WITHIN);
-        self.figures.late += u64::from(job.is_bad() && late);
+        let ended = self.ended.get(&job.parts[1]);
+        let late = ended.is_some_and(|(n, at)| *n >= KNOWN_AFTER && now > *at + KNOWN_WITHIN);
+        self.figures.late += u64::from(late);
         self.engines[engine].jobs.push(job);
     }
 
@@ -271,6 +275,13 @@
         if self.figures.ends == KNOWN_AFTER as u64 {
             self.fifth_end = Some(now);
         }
+        let causes = jobs.iter().filter(|job| job.is_bad() && now >= job.begin + LIFE);
+        let causes: HashSet<u64> = causes.map(|job| job.parts[1]).collect();
+        for part in causes {
+            let (ends, at) = self.ended.entry(part).or_default();
+            *at = if *ends < KNOWN_AFTER { now } else { *at };
+            *ends += 1;
+        }
         let begun = |job: &&Job| now >= job.begin && now < job.begin + PROBATION;
         let suspects = jobs.iter().filter(begun);
         let mut seen: HashSet<(usize, u64)> = HashSet::new();
--- a/crates/sched/src/suspects.rs
+++ b/crates/sched/src/suspects.rs
@@ -26,7 +26,7 @@
 /// Time after the beginning of an answer within which its request may have ended the engine. An
 /// engine that a part ends is gone within a tenth of a second; most sound streams last longer than
 /// this, or are complete.
-pub const PROBATION: Ms = Ms::secs(2);
+pub const PROBATION: Ms = Ms::secs(1);
 /// Number of hosts that are told of ends, in a larger fleet: if half of a fleet is killed, one of
 /// them is left but once in sixty times.
 pub const COLLECTORS: usize = 6;
@@ -40,7 +40,8 @@
 const RETENTION: Ms = Ms::secs(3_600);
 /// Differences of times that hosts tell as ages: a message takes some tens of ms.
 const CLOCK_MARGIN: Ms = Ms(100);
-/// Ends within this time after the first of them count as one episode, as when a rack fails.
+/// Ends within this time after the first of them count as one episode, as when a rack fails, and so do
+/// those of requests that were sent before it.
 const EPISODE: Ms = Ms(250);
 /// Sound answers without a part, while it ends engines, that show that engines work otherwise.
 const OTHER_ANSWERS: u64 = 3;
@@ -130,12 +131,21 @@
 struct End {
     at: Ms,
     target: TargetId,
-    /// Shared parts of the requests on it, each with its last place in a prompt.
-    parts: HashMap<u64, usize>,
+    /// Shared parts of the requests on it.
+    parts: HashMap<u64, Carried>,
     /// Whether a quarantined part was among them.
     explained: bool,
 }
 
+/// A part that requests on an engine had in common.
+#[derive(Clone, Copy, Debug, Default)]
+struct Carried {
+    /// Its last place in a prompt.
+    place: usize,
+    /// When the last of these requests was sent.
+    sent: Ms,
+}
+
 /// Ends of engines, as reported by all hosts.
 #[derive(Debug, Default)]
 pub struct Ends {
@@ -160,8 +170,9 @@
         });
         let end = &mut self.ends[at];
         for (place, part) in broken.parts.iter().enumerate() {
-            let last = end.parts.entry(*part).or_default();
-            *last = place.max(*last);
+            let carried = end.parts.entry(*part).or_default();
+            carried.place = place.max(carried.place);
+            carried.sent = broken.sent.max(carried.sent);
             end.explained |= self.quarantined.contains(part);
         }
     }
@@ -233,8 +244,8 @@
         let within = |at: Ms| span.is_some_and(|(first, last)| (first..=last).contains(&at));
         Case {
             part,
-            place: ends.iter().filter_map(|end| end.parts.get(&part)).max().copied().unwrap_or(0),
-            episodes: episodes(&ends),
+            place: carried(&ends, part).map(|(_, c)| c.place).max().unwrap_or(0),
+            episodes: episodes(&ends, part),
             rivals: self.unexplained().filter(|end| within(end.at)).count(),
             known: told.sound.is_some(),
             others: told.others,
@@ -292,12 +303,18 @@
     }
 }
 
-fn episodes(ends: &[&End]) -> usize {
+fn carried<'a>(ends: &[&'a End], part: u64) -> impl Iterator<Item = (Ms, &'a Carried)> {
+    ends.iter().filter_map(move |end| Some((end.at, end.parts.get(&part)?)))
+}
+
+/// Number of moments at which engines ended with a part. Requests that were sent before an outage make
+/// no second moment of it, however late their hosts notice.
+fn episodes(ends: &[&End], part: u64) -> usize {
     let mut begun: Option<Ms> = None;
     let mut count = 0;
-    for end in ends {
-        if begun.is_none_or(|begun| end.at - begun > EPISODE) {
-            begun = Some(end.at);
+    for (at, carried) in carried(ends, part) {
+        if begun.is_none_or(|begun| at - begun > EPISODE && carried.sent > begun) {
+            begun = Some(at);
             count += 1;
         }
     }
--- a/crates/sched/tests/suspects.rs
+++ b/crates/sched/tests/suspects.rs
@@ -231,3 +231,16 @@
     }
     assert_eq!(spell.part(&[(FIRST, 9_000), (50, 9_000)], 50), None);
 }
+
+// Guards against an outage that hosts notice one after the other, before any answer was sound.
+#[test]
+fn an_outage_that_is_noticed_late_quarantines_no_part() {
+    let mut ends = Ends::default();
+    for n in 0..22 {
+        let target = TargetId::from(format!("i-{n}@1"));
+        let (sent, at) = (Ms(9_000), Ms(10_000 + 100 * n));
+        ends.record(&BrokenRequest { target: &target, parts: &[FIRST], sent, at });
+    }
+    let told = ends.candidates().iter().map(|c| (c.part, Observed::default())).collect();
+    assert_eq!(ends.diagnose(&told), None);
+}
