Streams that are cut: log what kept another engine from going on

What callers saw: streams that ended in their midst. Cause of the gap: the line StreamCut named the fault of the engine but not why no other engine went on, nor under which configuration the stream was admitted.

It now names the obstacle (attempts, stages, deadline, the reason why no engine may get it, the retry budget by a name of its own), the number of engines tried, the last event, and both configurations. No change of behaviour.

--- a/crates/edge/src/gate.rs
+++ b/crates/edge/src/gate.rs
@@ -24,6 +24,8 @@
 pub(crate) enum BlockReason {
     /// There is no target, or all have been tried.
     NoTarget,
+    /// The retry budget of the service is used up.
+    RetryBudget,
     /// No target has the software version that began the stream, or none at which streams may begin.
     OtherBuild,
     /// A part of its prompt ends engines.
@@ -51,6 +53,7 @@
     pub(crate) const fn name(self) -> &'static str {
         match self {
             Self::NoTarget => "no_target",
+            Self::RetryBudget => "retry_budget",
             Self::OtherBuild => "other_build",
             Self::PoisonPart => "poison_part",
             Self::Outside => "outside",
--- a/crates/edge/src/refusal.rs
+++ b/crates/edge/src/refusal.rs
@@ -76,9 +76,10 @@
 impl From<BlockReason> for Reason {
     fn from(blocked: BlockReason) -> Self {
         match blocked {
-            BlockReason::NoTarget | BlockReason::Unreachable | BlockReason::Leaving => {
-                Self::NoTarget
-            }
+            BlockReason::NoTarget
+            | BlockReason::RetryBudget
+            | BlockReason::Unreachable
+            | BlockReason::Leaving => Self::NoTarget,
             BlockReason::OtherBuild => Self::OtherBuild,
             BlockReason::PoisonPart => Self::PoisonPart,
             BlockReason::Outside => Self::Outside,
--- a/crates/edge/src/relay/attempt.rs
+++ b/crates/edge/src/relay/attempt.rs
@@ -51,10 +51,12 @@
         }
         let now = self.core.clock.now();
         let first = self.sends == 0;
-        if self.tried.len() >= MAX_ENGINES || (!first && !self.core.take_retry(&self.call.service))
-        {
+        if self.tried.len() >= MAX_ENGINES {
             return Sent::Blocked(BlockReason::NoTarget);
         }
+        if !first && !self.core.take_retry(&self.call.service) {
+            return Sent::Blocked(BlockReason::RetryBudget);
+        }
         let prompt = self.prompt();
         let home = self.results.home().unwrap_or(&self.core.settings().domain).clone();
         let (readers, build) = (self.readers.as_slice(), self.build.as_ref());
--- a/crates/edge/src/relay/forward.rs
+++ b/crates/edge/src/relay/forward.rs
@@ -12,6 +12,7 @@
 use super::{OpenStream, Relay, STREAM_TIMEOUT};
 use crate::body::Truncated;
 use crate::events::Parsed;
+use crate::gate::BlockReason;
 use crate::send::SendFault;
 use crate::{diagnose, origin, subjects};
 
@@ -162,14 +163,17 @@
             self.record_failure(&open.link, fault, open.sent_at, Some(now - open.begun));
         }
         self.events.restart();
+        let mut obstacle = Obstacle::Attempts;
         while self.may_resume() {
             // The next engine needs the results of the stages too.
             if self.results.released() && (self.stages_rerun || self.rerun_stages().await.is_err())
             {
+                obstacle = Obstacle::Stages;
                 break;
             }
             let left = self.call.left(self.core.clock.now());
             if left == Ms::ZERO {
+                obstacle = Obstacle::Deadline;
                 break;
             }
             match self.send(left).await {
@@ -187,16 +191,57 @@
                     return Ok(());
                 }
                 Sent::NotRun | Sent::Lost | Sent::InputsGone => {}
-                Sent::Answer(_) | Sent::Blocked(_) => break,
+                Sent::Answer(_) => {
+                    obstacle = Obstacle::Answer;
+                    break;
+                }
+                Sent::Blocked(reason) => {
+                    obstacle = Obstacle::Blocked(reason);
+                    break;
+                }
             }
         }
         note!(
             logs::Event::StreamCut,
             request = %self.call.head.id,
+            route = %self.call.route.name,
             fault = fault.name(),
+            obstacle = obstacle.name(),
             runs = self.runs,
+            tried = self.tried.len(),
+            last_event = self.events.last(),
+            version = self.call.catalog.version,
+            in_force = self.core.version(),
             left_ms = self.call.left(self.core.clock.now()).0
         );
         Err(Truncated)
     }
 }
+
+/// Why no other engine may go on with a stream.
+#[derive(Clone, Copy, Debug)]
+enum Obstacle {
+    /// As many engines have run it as may, or it may run only once.
+    Attempts,
+    /// Its stages can't be run again.
+    Stages,
+    /// Its time is over.
+    Deadline,
+    /// An engine answered without a stream.
+    Answer,
+    /// No engine may get it.
+    Blocked(BlockReason),
+}
+
+impl Obstacle {
+    /// Its name in logs.
+    const fn name(self) -> &'static str {
+        match self {
+            Self::Attempts => "attempts",
+            Self::Stages => "stages",
+            Self::Deadline => "deadline",
+            Self::Answer => "answer",
+            Self::Blocked(reason) => reason.name(),
+        }
+    }
+}
--- a/crates/logs/src/event.rs
+++ b/crates/logs/src/event.rs
@@ -60,7 +60,7 @@
     RequestRefused = 200, Info, "A request was refused or abandoned.";
     RequestMalformed = 201, Info, "A caller's request could not be parsed.";
     StreamResumed = 202, Info, "A stream broke and is resumed on another target after its last complete event.";
-    StreamCut = 203, Warn, "A stream broke and can't be resumed; its caller's connection was closed.";
+    StreamCut = 203, Warn, "A stream broke and can't be resumed; its caller's connection was closed: the fault of its engine, what kept another engine from going on, and the configurations that it was admitted under and that is in force.";
     StageRedone = 204, Info, "Results that a stage reads are gone; the stages that produced them run again.";
     RequestServed = 205, Info, "A request was answered; ordinary requests are sampled.";
     StageEnded = 206, Debug, "A stage of a request ended: its outcome, its duration, and how late it was against the request's latency goal.";
