Streams: keep a silent engine until another has begun

What callers saw: a stream whose engine sent nothing for 1.5 s was cut with seconds of its caller's time left, though the engine was sound and went on after 1.7 s. Before the head, 502 after 2.5 s.

Cause: the host closed the engine's connection first, and looked only then whether another engine might go on. Where none might (attempts or the retry budget used up, no engine left, all of them full, the stages run twice), the stream was lost.

Change: the silent engine is kept while another one, its successor, is asked. It is given up only once the successor has begun to answer, or has held the request for 300 ms without rejecting it; so no two engines work on the stream for longer than that. If it sends again, the successor is withdrawn. Without a successor the stream stays where it is while its time lasts. A retry is taken from the budget only once an engine for it is found. The stages are run again, if they have to be, while the silent engine is kept.

--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -1,16 +1,23 @@
 //! Relays a stream to its caller, across all engines that run the request in turn.
+//!
+//! A sound engine may be silent for a second or so and go on. So an engine is never given up for its
+//! silence alone: it is kept until another one, its successor, has begun to answer or has accepted
+//! the request. If no other may go on, or it is rejected everywhere, the stream stays where it is
+//! while the caller's time lasts.
 
 mod attempt;
 mod forward;
+mod outcome;
+mod silence;
 
 use base::{BuildId, Ms};
 use hyper::Response;
 use hyper::body::Incoming;
 use logs::note;
-use sched::placement::engines::Prompt;
 use std::sync::Arc;
 
-use self::attempt::Sent;
+use self::attempt::{Attempt, AttemptFault, Ended, MAX_ENGINES};
+use self::silence::{Silence, accepted};
 use crate::body::ResponseBody;
 use crate::core::Core;
 use crate::events::EventStream;
@@ -21,12 +28,7 @@
 use crate::request::Call;
 use crate::results::Results;
 use crate::send::Lease;
-use crate::stages::{self, Turn};
-
-/// Silence after which a stream that may be resumed moves to another engine. Pauses of healthy
-/// engines stay under the 400 to 500 ms for which a stream counts as on time; three times that is
-/// no pause.
-const STREAM_TIMEOUT: Ms = Ms(1_500);
+use crate::stages;
 
 /// Result of starting a stream.
 pub(crate) enum Started {
@@ -60,18 +62,22 @@
 pub(crate) struct Relay {
     app: Arc<App>,
     core: Arc<Core>,
-    call: Call,
-    results: Results,
+    call: Arc<Call>,
+    results: Arc<Results>,
     /// Incarnations of engines that have read the prompt's subject, the newest first.
-    readers: Vec<String>,
+    readers: Arc<[String]>,
     /// Whether the stages were run a second time.
     stages_rerun: bool,
+    /// Whether an engine has found that the results of the stages are gone.
+    inputs_gone: bool,
     /// When the stages were done.
     stages_done: Ms,
     /// The software version of its engines; none before the caller has the first event.
     build: Option<BuildId>,
     /// When the caller got its first event.
     first_event: Option<Ms>,
+    /// Whether an engine has begun to answer.
+    begun: bool,
     /// Engines that were selected so far.
     tried: Vec<Arc<Link>>,
     /// Number of sends, whatever their outcome.
@@ -79,7 +85,27 @@
     /// Number of sends that an engine may have run.
     runs: u32,
     events: EventStream,
+    /// The engine that streams; none if `pending` runs the stream, or nobody.
     open: Option<OpenStream>,
+    /// An attempt whose answer has not begun.
+    pending: Option<Attempt>,
+    /// An attempt at the engine that may go on while `open` or `pending` is silent.
+    successor: Option<Attempt>,
+    silence: Silence,
+    /// What kept another engine from going on last.
+    obstacle: Option<AttemptFault>,
+}
+
+/// What happened next to a stream.
+enum Step {
+    /// An engine has begun to stream.
+    Began(Box<hyper::http::response::Parts>),
+    /// Bytes of the stream, or its end.
+    Frame(Option<Result<hyper::body::Frame<bytes::Bytes>, hyper::Error>>),
+    /// An engine answered without a stream.
+    Answer(Box<Response<ResponseBody>>),
+    /// No engine runs it, and none may.
+    GivenUp(Reason),
 }
 
 impl Relay {
@@ -98,17 +124,23 @@
             stages_done: core.clock.now(),
             build,
             first_event: None,
+            begun: false,
             stages_rerun: false,
+            inputs_gone: false,
             tried: Vec::new(),
             sends: 0,
             runs: 0,
             events: EventStream::new(call.head.last_event),
             open: None,
+            pending: None,
+            successor: None,
+            silence: Silence::default(),
+            obstacle: None,
             app,
             core,
-            call,
-            results,
-            readers,
+            call: Arc::new(call),
+            results: Arc::new(results),
+            readers: readers.into(),
         }
     }
 
@@ -119,56 +151,91 @@
 
     /// Sends the request to engines until one streams or answers.
     pub(crate) async fn start(&mut self) -> Started {
+        loop {
+            match self.step().await {
+                Step::Began(parts) => return Started::Streams(*parts),
+                Step::Answer(response) => return Started::Answer(response),
+                Step::GivenUp(reason) => return Started::Refused(reason),
+                // Only an engine that has begun sends frames.
+                Step::Frame(_) => {}
+            }
+        }
+    }
+
+    /// Waits until something happens that matters to the caller.
+    async fn step(&mut self) -> Step {
         loop {
             let now = self.core.clock.now();
-            let left = self.call.left(now);
-            if left == Ms::ZERO {
-                let reason = if self.runs > 0 { Reason::Timeout } else { Reason::NoTime };
-                return Started::Refused(reason);
+            if self.open.is_none()
+                && self.pending.is_none()
+                && let Err(reason) = self.begin(now)
+            {
+                return Step::GivenUp(reason);
             }
-            match self.send(left).await {
-                Sent::Streams(parts) => {
-                    self.results.free();
-                    return Started::Streams(*parts);
-                }
-                Sent::Answer(response) => return Started::Answer(response),
-                Sent::NotRun => {}
-                Sent::InputsGone if self.stages_rerun => {
-                    return Started::Refused(Reason::Stages(stages::longest_call(&self.call)));
+            match self.event(now).await {
+                Event::Frame(frame) => return Step::Frame(frame),
+                Event::Ended(ended) => {
+                    if let Some(step) = self.attempt_ended(ended).await {
+                        return step;
+                    }
                 }
-                Sent::InputsGone => {
-                    if let Err(reason) = self.rerun_stages().await {
-                        return Started::Refused(reason);
+                Event::SuccessorEnded(ended) => {
+                    if let Some(step) = self.successor_ended(ended).await {
+                        return step;
                     }
                 }
-                Sent::Lost if self.may_resume() => {}
-                Sent::Lost => {
-                    let left = self.call.left(self.core.clock.now());
-                    let timeout = left == Ms::ZERO;
-                    let reason = if timeout { Reason::Timeout } else { Reason::Failed };
-                    return Started::Refused(reason);
+                Event::Poisoned => {
+                    if let Some(step) = self.poisoned() {
+                        return step;
+                    }
                 }
-                Sent::Blocked(block_reason) => {
-                    let reason = match block_reason {
-                        BlockReason::PoisonPart => Reason::PoisonPart,
-                        _ if self.runs > 0 => Reason::Failed,
-                        _ => block_reason.into(),
-                    };
-                    return Started::Refused(reason);
+                Event::Accepted => self.hand_over(),
+                Event::Timer if self.call.left(self.core.clock.now()) == Ms::ZERO => {
+                    return Step::GivenUp(self.time_out());
                 }
+                Event::Timer => self.seek_successor(),
             }
         }
     }
 
-    /// Runs the stages again, at most once, because their results are gone.
-    async fn rerun_stages(&mut self) -> Result<(), Reason> {
-        self.stages_rerun = true;
-        self.results = stages::run(&self.app, &self.call, Turn::Again).await?;
+    /// Waits for the next event, for the deadline at most.
+    async fn event(&mut self, now: Ms) -> Event {
+        let next = self.silence_end().unwrap_or(Ms::MAX).min(self.call.deadline);
+        let writes = self.pending.is_some() || self.successor.is_some();
+        let progress = self.successor.as_ref().map(Attempt::watch);
+        let (open, pending, successor) = (&mut self.open, &mut self.pending, &mut self.successor);
+        tokio::select! {
+            // First: nothing may be written once a part of the prompt is known to end engines.
+            biased;
+            () = self.core.poisoned(&self.call.head), if writes => Event::Poisoned,
+            frame = next_frame(open) => Event::Frame(frame),
+            ended = next_end(pending) => Event::Ended(ended),
+            ended = next_end(successor) => Event::SuccessorEnded(ended),
+            () = accepted(&self.core, progress) => Event::Accepted,
+            () = tokio::time::sleep((next - now).duration()) => Event::Timer,
+        }
+    }
+
+    /// Begins an attempt while nobody runs the stream.
+    fn begin(&mut self, now: Ms) -> Result<(), Reason> {
+        if self.call.left(now) == Ms::ZERO {
+            return Err(self.time_out());
+        }
+        let rerun = self.inputs_gone || (self.begun && self.results.released());
+        if rerun && self.stages_rerun {
+            let reason = Reason::Stages(stages::longest_call(&self.call));
+            self.obstacle = Some(AttemptFault::Stages(reason));
+            return Err(reason);
+        }
+        self.pending = Some(self.attempt(rerun));
+        self.silence = Silence::begin(&self.core);
         Ok(())
     }
 
-    fn may_resume(&self) -> bool {
-        self.call.route.retry_safety.is_idempotent() && self.runs < self.call.route.attempts
+    fn attempt(&mut self, rerun: bool) -> Attempt {
+        self.stages_rerun |= rerun;
+        self.inputs_gone = false;
+        Attempt::begin(self, rerun)
     }
 
     /// Number of tokens that an engine keeps of the prompts it has read.
@@ -177,28 +244,63 @@
         service.and_then(|s| s.engine.as_ref()).map_or(0, |e| e.tokens)
     }
 
-    /// What an engine has to read.
-    fn prompt(&self) -> Prompt {
-        let service = self.call.catalog.service(&self.call.service);
-        let engine = service.and_then(|s| s.engine.as_ref());
-        let tokens = self.call.head.shared_tokens();
-        let copy = engine.map_or(0.0, |e| e.copy_ms * tokens as f64 / 1e3);
-        Prompt {
-            subject: self.call.head.subject(),
-            copy: Ms(copy as u64),
-            result_bytes: self.result_bytes(),
-        }
+    /// Whether this is a retry: the request was, or is being, sent to an engine.
+    fn is_retry(&self) -> bool {
+        self.sends > 0 || self.open.is_some() || self.pending.is_some()
     }
 
-    /// Size of the stage results that the engine reads; zero if they are too small for a home.
-    fn result_bytes(&self) -> u64 {
-        if self.results.home().is_none() {
-            return 0;
-        }
-        let route = &self.call.route;
-        let pieces = |i: usize| self.call.head.pieces.get(i).copied().unwrap_or(1);
-        let size = |i: usize| route.stages[i].bytes.saturating_mul(u64::from(pieces(i)));
-        route.last_stages().map(size).fold(0, u64::saturating_add)
+    /// The engines that were selected so far, and the one that is being waited for.
+    fn selected(&self) -> Vec<Arc<Link>> {
+        let waiting = self.pending.as_ref().and_then(|attempt| attempt.progress().link);
+        self.tried.iter().cloned().chain(waiting).collect()
+    }
+
+    /// Whether the request may be run once more, beside the attempts that are on their way.
+    fn may_resume(&self) -> bool {
+        self.call.route.retry_safety.is_idempotent() && self.runs < self.call.route.attempts
+    }
+
+    /// Whether another engine may take over from the one that is silent.
+    fn may_take_over(&self) -> bool {
+        let runs = self.runs + u32::from(self.pending.is_some());
+        let idempotent = self.call.route.retry_safety.is_idempotent();
+        let stages = !self.results.released() || !self.stages_rerun;
+        idempotent
+            && runs < self.call.route.attempts
+            && self.selected().len() < MAX_ENGINES
+            && stages
+    }
+}
+
+/// What a relay waits for.
+enum Event {
+    /// Bytes of the stream, or its end.
+    Frame(Option<Result<hyper::body::Frame<bytes::Bytes>, hyper::Error>>),
+    /// The attempt has ended.
+    Ended(Ended),
+    /// The successor's attempt has ended.
+    SuccessorEnded(Ended),
+    /// A part of the prompt ends engines.
+    Poisoned,
+    /// The successor's engine has accepted the request.
+    Accepted,
+    /// The deadline or the end of a silence.
+    Timer,
+}
+
+async fn next_frame(
+    open: &mut Option<OpenStream>,
+) -> Option<Result<hyper::body::Frame<bytes::Bytes>, hyper::Error>> {
+    match open {
+        Some(open) => http_body_util::BodyExt::frame(&mut open.body).await,
+        None => std::future::pending().await,
+    }
+}
+
+async fn next_end(attempt: &mut Option<Attempt>) -> Ended {
+    match attempt {
+        Some(attempt) => attempt.ended().await,
+        None => std::future::pending().await,
     }
 }
 
@@ -219,3 +321,14 @@
         );
     }
 }
+
+/// The reason of a refusal for an obstacle to sending a request.
+fn refusal(fault: AttemptFault, runs: u32) -> Reason {
+    match fault {
+        AttemptFault::Stages(reason) => reason,
+        AttemptFault::Blocked(BlockReason::PoisonPart) => Reason::PoisonPart,
+        AttemptFault::Blocked(_) if runs > 0 => Reason::Failed,
+        AttemptFault::Blocked(reason) => reason.into(),
+        AttemptFault::OtherIncarnation | AttemptFault::Send(_) => Reason::Failed,
+    }
+}
--- a/crates/edge/src/relay/attempt.rs
+++ b/crates/edge/src/relay/attempt.rs
@@ -1,226 +1,245 @@
-//! Sends a stream's request to one engine, and learns from how it answers.
+//! One attempt at an engine: selects it, sends the request and waits for the head of its answer.
 
-use base::Ms;
-use hyper::Response;
-use logs::note;
-use sched::health::Outcome;
+use base::{BuildId, Ms};
+use futures::FutureExt;
+use futures::future::BoxFuture;
 use std::sync::Arc;
+use tokio::sync::watch;
 
-use super::{OpenStream, Relay};
-use crate::body::{ResponseBody, full_body, is_framed};
+use super::Relay;
 use crate::choose::{Selection, choose, copy_source};
 use crate::gate::BlockReason;
+use crate::host::App;
 use crate::links::Link;
-use crate::plain::{headers, report_crash};
+use crate::plain::headers;
+use crate::refusal::Reason;
+use crate::request::Call;
+use crate::results::Results;
 use crate::send::{Answered, IfClosed, SendFault, Via, Wait, send};
+use crate::stages::{self, Turn};
 use crate::{diagnose, restart};
+use sched::placement::engines::Prompt;
 
 /// Most engines that a request is sent to, including those that did not run it.
-const MAX_ENGINES: usize = 4;
-/// Silence before the first event after which a stream that may be resumed moves to another engine,
-/// in addition to the time to read the prompt: the engine may have to read long prompts of other
-/// requests first.
-const FIRST_EVENT_TIMEOUT: Ms = Ms(2_500);
+pub(super) const MAX_ENGINES: usize = 4;
 /// Prompts that an engine reads for at least this long are reported to other hosts. A shorter one
 /// ahead of another prompt is hardly noticed.
 const REPORTED_READ_TIME: Ms = Ms(20);
-/// Largest refusal or error of a target that is read, bytes.
-const ERROR_BYTES: usize = 1 << 20;
-
-/// Result of one send.
-pub(super) enum Sent {
-    /// The engine streams.
-    Streams(Box<hyper::http::response::Parts>),
-    /// The engine answered without a stream.
-    Answer(Box<Response<ResponseBody>>),
-    /// The engine did not run it.
-    NotRun,
-    /// The engine did not run it because its inputs are gone.
-    InputsGone,
-    /// It failed, and the engine may have run it.
-    Lost,
-    /// No engine may get it.
+
+/// An attempt whose answer has not begun. If it is dropped, its connection is closed and its engine
+/// stops working on the request.
+pub(super) struct Attempt {
+    progress: watch::Receiver<Progress>,
+    ended: BoxFuture<'static, Ended>,
+}
+
+/// How far an attempt is.
+#[derive(Clone, Default)]
+pub(super) struct Progress {
+    /// The engine that was selected.
+    pub(super) link: Option<Arc<Link>>,
+    /// When the request was written to it.
+    pub(super) written: Option<Ms>,
+}
+
+/// How an attempt ended.
+pub(super) struct Ended {
+    pub(super) progress: Progress,
+    /// When the engine was selected.
+    pub(super) sent_at: Ms,
+    /// Whether the engine had no other prompt to read, as far as this host knows.
+    pub(super) was_idle: bool,
+    /// The results of the stages, if they were run again for this attempt.
+    pub(super) results: Option<Arc<Results>>,
+    pub(super) result: Result<Answered, AttemptFault>,
+}
+
+/// Why an attempt has no answer.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum AttemptFault {
+    /// The stages could not be run again.
+    Stages(Reason),
+    /// No engine may get the request.
     Blocked(BlockReason),
+    /// The engine is another incarnation than the registered one.
+    OtherIncarnation,
+    /// The send failed.
+    Send(SendFault),
 }
 
-impl Relay {
-    /// Sends the request once, to the best engine that was not tried yet.
-    pub(super) async fn send(&mut self, left: Ms) -> Sent {
-        if self.core.poison_part(&self.call.head).is_some() {
-            return Sent::Blocked(BlockReason::PoisonPart);
+/// What an attempt needs of its stream.
+struct Job {
+    app: Arc<App>,
+    call: Arc<Call>,
+    results: Arc<Results>,
+    readers: Arc<[String]>,
+    build: Option<BuildId>,
+    last_event: Option<u64>,
+    tried: Vec<Arc<Link>>,
+    /// Whether the request was sent before, so that this is a retry.
+    retry: bool,
+    /// Whether the stages are run again first.
+    rerun: bool,
+    progress: watch::Sender<Progress>,
+}
+
+impl AttemptFault {
+    /// Its name in logs.
+    pub(super) const fn name(self) -> &'static str {
+        match self {
+            Self::Stages(_) => "stages",
+            Self::Blocked(reason) => reason.name(),
+            Self::OtherIncarnation => "other_incarnation",
+            Self::Send(fault) => fault.name(),
         }
-        let now = self.core.clock.now();
-        let first = self.sends == 0;
-        if self.tried.len() >= MAX_ENGINES {
-            return Sent::Blocked(BlockReason::NoTarget);
+    }
+}
+
+impl Attempt {
+    /// Begins an attempt at the best engine that was not tried yet. With `rerun` the stages are run
+    /// again first, since their results are gone.
+    pub(super) fn begin(relay: &Relay, rerun: bool) -> Self {
+        let (progress, reader) = watch::channel(Progress::default());
+        let job = Job {
+            app: relay.app.clone(),
+            call: relay.call.clone(),
+            results: relay.results.clone(),
+            readers: relay.readers.clone(),
+            build: relay.build.clone(),
+            last_event: relay.events.last(),
+            tried: relay.selected(),
+            retry: relay.is_retry(),
+            rerun,
+            progress,
+        };
+        Self { progress: reader, ended: job.run().boxed() }
+    }
+
+    /// How far it is.
+    pub(super) fn progress(&self) -> Progress {
+        self.progress.borrow().clone()
+    }
+
+    /// Watches how far it is.
+    pub(super) fn watch(&self) -> watch::Receiver<Progress> {
+        self.progress.clone()
+    }
+
+    /// Completes when the answer has begun, or the attempt has failed.
+    pub(super) async fn ended(&mut self) -> Ended {
+        (&mut self.ended).await
+    }
+}
+
+impl Job {
+    async fn run(mut self) -> Ended {
+        let core = self.app.core.clone();
+        let mut ended = Ended {
+            progress: Progress::default(),
+            sent_at: core.clock.now(),
+            was_idle: false,
+            results: None,
+            result: Err(AttemptFault::Blocked(BlockReason::NoTarget)),
+        };
+        if self.rerun {
+            match stages::run(&self.app, &self.call, Turn::Again).await {
+                Ok(results) => self.results = Arc::new(results),
+                Err(reason) => {
+                    ended.result = Err(AttemptFault::Stages(reason));
+                    return ended;
+                }
+            }
+            ended.results = Some(self.results.clone());
+        }
+        ended.result = match self.select() {
+            Ok(link) => self.send_to(&link, &mut ended).await,
+            Err(reason) => Err(AttemptFault::Blocked(reason)),
+        };
+        ended.progress = self.progress.borrow().clone();
+        ended
+    }
+
+    /// Selects an engine, and takes a retry from the budget if this is one.
+    fn select(&self) -> Result<Arc<Link>, BlockReason> {
+        let core = &self.app.core;
+        if core.poison_part(&self.call.head).is_some() {
+            return Err(BlockReason::PoisonPart);
         }
-        if !first && !self.core.take_retry(&self.call.service) {
-            return Sent::Blocked(BlockReason::RetryBudget);
+        if self.tried.len() >= MAX_ENGINES {
+            return Err(BlockReason::NoTarget);
         }
         let prompt = self.prompt();
-        let home = self.results.home().unwrap_or(&self.core.settings().domain).clone();
-        let (readers, build) = (self.readers.as_slice(), self.build.as_ref());
+        let home = self.results.home().unwrap_or(&core.settings().domain).clone();
+        let (readers, build) = (&*self.readers, self.build.as_ref());
         let selection = Selection::Engine { prompt: &prompt, readers, home: &home, build };
-        let link = match choose(&self.core, &self.call, selection, &self.tried) {
-            Ok(link) => link,
-            Err(block_reason) => return Sent::Blocked(block_reason),
-        };
-        self.tried.push(link.clone());
-        // Also for a stream that can't be resumed: its connection may carry one that can.
-        if !restart::is_same(&self.core, &link, &self.call.residency).await {
-            diagnose::target_gone(&self.core, &link);
-            return Sent::NotRun;
+        let link = choose(core, &self.call, selection, &self.tried)?;
+        if self.retry && !core.take_retry(&self.call.service) {
+            return Err(BlockReason::RetryBudget);
         }
-        let tokens = self.call.head.own_tokens();
-        let reading = self.core.estimate().first_event(&self.call.service, tokens);
-        let time = self.core.estimate().prefill(&self.call.service, tokens);
-        let was_idle = link.backlog().wait(now) == Ms::ZERO;
-        link.backlog().sent(now, time);
-        if time >= REPORTED_READ_TIME {
-            self.core.members.queue_prompt(&link.entry.domain, &link.incarnation(), time);
+        self.progress.send_modify(|p| p.link = Some(link.clone()));
+        Ok(link)
+    }
+
+    async fn send_to(&self, link: &Arc<Link>, ended: &mut Ended) -> Result<Answered, AttemptFault> {
+        let (core, call) = (&self.app.core, &self.call);
+        ended.sent_at = core.clock.now();
+        // Also for a stream that can't be resumed: its connection may carry one that can.
+        if !restart::is_same(core, link, &call.residency).await {
+            diagnose::target_gone(core, link);
+            return Err(AttemptFault::OtherIncarnation);
         }
-        let wait = match self.call.route.retry_safety.is_idempotent() {
-            true if self.runs + 1 < self.call.route.attempts => {
-                left.min(FIRST_EVENT_TIMEOUT + reading)
-            }
-            _ => left,
-        };
-        let (core, call) = (&self.core, &self.call);
-        let (inputs, last) = (self.results.handles(), self.events.last());
-        let source = copy_source(core, call, prompt.subject, &self.readers, &link);
+        ended.was_idle = self.record_prompt(link, ended.sent_at);
+        let (results, progress) = (&self.results, &self.progress);
+        let subject = call.head.subject();
+        let source = copy_source(core, call, subject, &self.readers, link);
         let fetch = source.map(|l| l.entry.addr);
         let build = || {
-            self.results.free_after_read();
-            call.target_request(headers(core, call, &link, inputs, last, fetch))
-        };
-        let wait = Wait::Running { within: wait, most: left };
-        let sent = send(
-            core,
-            &link,
-            &call.residency,
-            &call.head.id,
-            wait,
-            Via::Pool(IfClosed::Fail),
-            build,
-        );
-        let result = tokio::select! {
-            // First: nothing may be written once the part is known.
-            biased;
-            () = core.poisoned(&call.head) => None,
-            result = sent => Some(result),
+            progress.send_modify(|p| p.written = Some(core.clock.now()));
+            results.free_after_read();
+            let inputs = results.handles();
+            call.target_request(headers(core, call, link, inputs, self.last_event, fetch))
         };
-        let Some(result) = result else {
-            // The engine may have begun to read it.
-            self.runs += 1;
-            return Sent::Blocked(BlockReason::PoisonPart);
-        };
-        self.sends += u32::from(!matches!(result, Err(SendFault::Blocked(_))));
-        match result {
-            Ok(answered) => self.handle_answer(link, now, was_idle, answered).await,
-            Err(fault) => {
-                self.record_failure(&link, fault, now, None);
-                match fault.unsent() {
-                    true => Sent::NotRun,
-                    false => {
-                        self.runs += 1;
-                        Sent::Lost
-                    }
-                }
-            }
-        }
+        // How long its silence is borne depends on whether another engine may go on, see `Relay`.
+        let wait = Wait::Fixed(call.left(core.clock.now()));
+        let via = Via::Pool(IfClosed::Fail);
+        send(core, link, &call.residency, &call.head.id, wait, via, build)
+            .await
+            .map_err(AttemptFault::Send)
     }
 
-    async fn handle_answer(
-        &mut self,
-        link: Arc<Link>,
-        sent_at: Ms,
-        was_idle: bool,
-        answered: Answered,
-    ) -> Sent {
-        let Answered { head, parts, body, lease } = answered;
-        let now = self.core.clock.now();
-        if head.inputs_gone {
-            note!(logs::Event::InputsGone, request = %self.call.head.id, target = link.name());
-            if self.tried.len() == 1 {
-                self.results.inputs_read_late();
-            }
-            self.results.free();
-            // The engine itself is healthy: it may be tried again.
-            self.tried.pop();
-            lease.close();
-            return Sent::InputsGone;
-        }
-        if head.not_run {
-            let outcome = if head.moved { Outcome::NoConnection } else { Outcome::Full };
-            link.record(now, outcome);
-            self.core.metrics.sent(&self.call.route.name, "not_run");
-            return Sent::NotRun;
-        }
-        self.runs += 1;
-        link.answered(now);
-        if parts.status.is_success() && head.signed && !head.encoded {
-            self.open = Some(OpenStream {
-                link,
-                lease,
-                body,
-                sent_at,
-                begun: now,
-                awaits_first: true,
-                framed: is_framed(&parts.headers),
-                sound: false,
-                was_idle,
-            });
-            return Sent::Streams(Box::new(parts));
-        }
-        if parts.status.is_success() {
-            self.record_failure(&link, SendFault::Mismatch, sent_at, None);
-            return Sent::Lost;
+    /// Records that the engine gets a prompt to read. Returns whether it had no other one.
+    fn record_prompt(&self, link: &Link, now: Ms) -> bool {
+        let (core, call) = (&self.app.core, &self.call);
+        let time = core.estimate().prefill(&call.service, call.head.own_tokens());
+        let was_idle = link.backlog().wait(now) == Ms::ZERO;
+        link.backlog().sent(now, time);
+        if time >= REPORTED_READ_TIME {
+            core.members.queue_prompt(&link.entry.domain, &link.incarnation(), time);
         }
-        link.record(now, Outcome::Failed);
-        self.core.metrics.sent(&self.call.route.name, "failed");
-        if self.may_resume() {
-            return Sent::Lost;
+        was_idle
+    }
+
+    /// What an engine has to read.
+    fn prompt(&self) -> Prompt {
+        let call = &self.call;
+        let engine = call.catalog.service(&call.service).and_then(|s| s.engine.as_ref());
+        let tokens = call.head.shared_tokens();
+        let copy = engine.map_or(0.0, |e| e.copy_ms * tokens as f64 / 1e3);
+        Prompt {
+            subject: call.head.subject(),
+            copy: Ms(copy as u64),
+            result_bytes: self.result_bytes(),
         }
-        let left = self.call.left(now);
-        let read = tokio::time::timeout(left.duration(), link::read(body, ERROR_BYTES));
-        let Ok(Ok(body)) = read.await else { return Sent::Lost };
-        lease.close();
-        let mut response = Response::new(full_body(body));
-        *response.status_mut() = parts.status;
-        *response.headers_mut() = self.core.dialect.response_headers(&parts.headers);
-        Sent::Answer(Box::new(response))
     }
 
-    /// Logs and counts a failed send, or a stream that broke, sent at `sent`. `answering` is the time since the
-    /// engine began to answer; none if it had not.
-    pub(super) fn record_failure(
-        &self,
-        link: &Link,
-        fault: SendFault,
-        sent: Ms,
-        answering: Option<Ms>,
-    ) {
-        note!(
-            logs::Event::AttemptFailed,
-            request = %self.call.head.id,
-            target = link.name(),
-            fault = fault.name(),
-            last_event = self.events.last(),
-            parts = self.call.head.shared_ids(),
-            answering_ms = answering.map(|time| time.0),
-            left_ms = self.call.left(self.core.clock.now()).0
-        );
-        self.core.metrics.sent(&self.call.route.name, fault.name());
-        match fault {
-            SendFault::Broken => {
-                report_crash(&self.core, &self.call, link);
-                diagnose::engine_ended(&self.core, &self.call, link, sent, answering);
-            }
-            SendFault::NoConnection => diagnose::target_gone(&self.core, link),
-            SendFault::Blocked(_)
-            | SendFault::Unproved
-            | SendFault::Silent
-            | SendFault::Mismatch => {}
+    /// Size of the stage results that the engine reads; zero if they are too small for a home.
+    fn result_bytes(&self) -> u64 {
+        if self.results.home().is_none() {
+            return 0;
         }
+        let route = &self.call.route;
+        let pieces = |i: usize| self.call.head.pieces.get(i).copied().unwrap_or(1);
+        let size = |i: usize| route.stages[i].bytes.saturating_mul(u64::from(pieces(i)));
+        route.last_stages().map(size).fold(0, u64::saturating_add)
     }
 }
--- a/crates/edge/src/relay/forward.rs
+++ b/crates/edge/src/relay/forward.rs
@@ -3,32 +3,26 @@
 
 use base::Ms;
 use bytes::Bytes;
-use http_body_util::BodyExt;
 use logs::note;
 use sched::health::Outcome;
 use sched::suspects::PROBATION;
 
-use super::attempt::Sent;
-use super::{OpenStream, Relay, STREAM_TIMEOUT};
+use super::silence::Silence;
+use super::{OpenStream, Relay, Step};
 use crate::body::Truncated;
 use crate::events::Parsed;
-use crate::gate::BlockReason;
 use crate::send::SendFault;
 use crate::{diagnose, origin, subjects};
 
 impl Relay {
     /// The next events; none at the end of the stream.
     pub(crate) async fn next(&mut self) -> Option<Result<Bytes, Truncated>> {
+        self.silence = Silence::begin(&self.core);
         loop {
-            let Some(open) = &mut self.open else { return Some(Err(Truncated)) };
-            let now = self.core.clock.now();
-            let left = self.call.deadline - now;
-            let resumable = self.call.route.retry_safety.is_idempotent();
-            let wait = if resumable { left.min(STREAM_TIMEOUT) } else { left };
-            let frame = tokio::time::timeout(wait.duration(), open.body.frame()).await;
-            let fault = match frame {
-                Ok(Some(Ok(frame))) => {
+            let fault = match self.step().await {
+                Step::Frame(Some(Ok(frame))) => {
                     let Ok(data) = frame.into_data() else { continue };
+                    self.record_sign_of_life();
                     match self.events.push(data) {
                         Parsed::Events(events) if events.is_empty() => continue,
                         Parsed::Events(events) => {
@@ -39,22 +33,84 @@
                         Parsed::Broken => SendFault::Mismatch,
                     }
                 }
-                // A stream without an event has not been written, whatever its end looks like.
-                Ok(None) if !self.events.is_partial() && (open.framed || !open.awaits_first) => {
+                Step::Frame(None) if self.is_whole() => {
+                    self.withdraw_successor();
                     self.finish();
                     return None;
                 }
-                Ok(None) => SendFault::Broken,
-                Ok(Some(Err(_))) => SendFault::Broken,
-                Err(_) => SendFault::Silent,
+                Step::Frame(None | Some(Err(_))) => SendFault::Broken,
+                Step::Began(_) => {
+                    self.note_resumed();
+                    continue;
+                }
+                Step::Answer(_) | Step::GivenUp(_) => return Some(Err(self.cut())),
             };
-            if let Err(cut) = self.resume(fault).await {
-                return Some(Err(cut));
+            self.give_up_open(fault);
+            if !self.promote() && !self.may_resume() {
+                return Some(Err(self.cut()));
             }
         }
     }
 
-    pub(super) fn record_first_event(&mut self) {
+    /// Whether the end of the open stream is that of a whole one. A stream without an event has not
+    /// been written, whatever its end looks like.
+    fn is_whole(&self) -> bool {
+        let ended = self.open.as_ref().is_some_and(|open| open.framed || !open.awaits_first);
+        ended && !self.events.is_partial()
+    }
+
+    /// Records that the engine that streams has sent something. Its successor is not needed.
+    fn record_sign_of_life(&mut self) {
+        self.withdraw_successor();
+        if let Some(open) = self.open.as_ref().filter(|_| self.silence.is_noticed()) {
+            note!(
+                logs::Event::EngineResponds,
+                request = %self.call.head.id,
+                target = open.link.name(),
+                silent_ms = self.silence.length(self.core.clock.now()).0,
+                runs = self.runs
+            );
+        }
+        self.silence = Silence::begin(&self.core);
+    }
+
+    /// Records that another engine goes on with the stream.
+    fn note_resumed(&self) {
+        note!(
+            logs::Event::StreamResumed,
+            request = %self.call.head.id,
+            after = self.events.last(),
+            target = self.open.as_ref().map(|open| open.link.name()),
+            build = self.open.as_ref().map(|open| open.link.build()),
+            began_at = self.build.as_ref().map(base::BuildId::as_str)
+        );
+        self.core.metrics.stream_went_on("host");
+    }
+
+    /// Records that the stream ends before its end.
+    fn cut(&mut self) -> Truncated {
+        let left = self.call.left(self.core.clock.now());
+        let obstacle = match (left, self.obstacle) {
+            (Ms::ZERO, _) => "deadline",
+            (_, Some(fault)) => fault.name(),
+            (_, None) => "attempts",
+        };
+        note!(
+            logs::Event::StreamCut,
+            request = %self.call.head.id,
+            route = %self.call.route.name,
+            obstacle,
+            runs = self.runs,
+            tried = self.tried.len(),
+            last_event = self.events.last(),
+            version = self.call.catalog.version,
+            in_force = self.core.version(),
+            left_ms = left.0
+        );
+        Truncated
+    }
+
+    fn record_first_event(&mut self) {
         let capacity = self.engine_capacity();
         let Some(open) = self.open.as_mut().filter(|o| o.awaits_first) else { return };
         open.awaits_first = false;
@@ -124,7 +180,7 @@
     }
 
     /// Records the end of a complete stream.
-    pub(super) fn finish(&mut self) {
+    fn finish(&mut self) {
         let Some(open) = self.open.take() else { return };
         self.record_end(&open);
         self.core.metrics.sent(&self.call.route.name, "good");
@@ -149,99 +205,4 @@
         }
         open.lease.close();
     }
-
-    /// Resumes the stream at another engine, after the last complete event.
-    pub(super) async fn resume(&mut self, fault: SendFault) -> Result<(), Truncated> {
-        // The connection is dropped first, so that this engine stops before another resumes.
-        if let Some(open) = self.open.take() {
-            let outcome = match fault {
-                SendFault::Silent => Outcome::Silent,
-                _ => Outcome::Broken,
-            };
-            let now = self.core.clock.now();
-            open.link.record(now, outcome);
-            self.record_failure(&open.link, fault, open.sent_at, Some(now - open.begun));
-        }
-        self.events.restart();
-        let mut obstacle = Obstacle::Attempts;
-        while self.may_resume() {
-            // The next engine needs the results of the stages too.
-            if self.results.released() && (self.stages_rerun || self.rerun_stages().await.is_err())
-            {
-                obstacle = Obstacle::Stages;
-                break;
-            }
-            let left = self.call.left(self.core.clock.now());
-            if left == Ms::ZERO {
-                obstacle = Obstacle::Deadline;
-                break;
-            }
-            match self.send(left).await {
-                Sent::Streams(_) => {
-                    self.results.free();
-                    note!(
-                        logs::Event::StreamResumed,
-                        request = %self.call.head.id,
-                        after = self.events.last(),
-                        target = self.open.as_ref().map(|open| open.link.name()),
-                        build = self.open.as_ref().map(|open| open.link.build()),
-                        began_at = self.build.as_ref().map(base::BuildId::as_str)
-                    );
-                    self.core.metrics.stream_went_on("host");
-                    return Ok(());
-                }
-                Sent::NotRun | Sent::Lost | Sent::InputsGone => {}
-                Sent::Answer(_) => {
-                    obstacle = Obstacle::Answer;
-                    break;
-                }
-                Sent::Blocked(reason) => {
-                    obstacle = Obstacle::Blocked(reason);
-                    break;
-                }
-            }
-        }
-        note!(
-            logs::Event::StreamCut,
-            request = %self.call.head.id,
-            route = %self.call.route.name,
-            fault = fault.name(),
-            obstacle = obstacle.name(),
-            runs = self.runs,
-            tried = self.tried.len(),
-            last_event = self.events.last(),
-            version = self.call.catalog.version,
-            in_force = self.core.version(),
-            left_ms = self.call.left(self.core.clock.now()).0
-        );
-        Err(Truncated)
-    }
-}
-
-/// Why no other engine may go on with a stream.
-#[derive(Clone, Copy, Debug)]
-enum Obstacle {
-    /// As many engines have run it as may, or it may run only once.
-    Attempts,
-    /// Its stages can't be run again.
-    Stages,
-    /// Its time is over.
-    Deadline,
-    /// An engine answered without a stream.
-    Answer,
-    /// No engine may get it.
-    Blocked(BlockReason),
-}
-
-impl Obstacle {
-    /// Its name in logs.
-    const fn name(self) -> &'static str {
-        match self {
-            Self::Attempts => "attempts",
-            Self::Stages => "stages",
-            Self::Deadline => "deadline",
-            Self::Answer => "answer",
-            Self::Blocked(reason) => reason.name(),
-        }
-    }
 }
--- a/crates/logs/src/event.rs
+++ b/crates/logs/src/event.rs
@@ -70,6 +70,8 @@
     StageFailed = 210, Info, "A stage of a request failed: its outcome, and how long a stage submitted now would wait.";
     StreamLeft = 211, Info, "A caller disconnected in the middle of its stream.";
     StreamTakenUp = 212, Info, "A caller took up a stream of an earlier attempt; its first event is on its way.";
+    EngineSilent = 216, Info, "An engine has sent nothing of a stream for long; another one is asked to go on, and it is kept until that one has begun.";
+    EngineResponds = 217, Info, "An engine that was silent goes on with its stream.";
     AnswerMismatch = 300, Warn, "An answer belonged to another request, stage or attempt and was dropped with its connection.";
     ConnectionSilent = 301, Warn, "A connection to a target stopped responding while the target answers on a new one.";
     TargetDead = 302, Warn, "A target does not respond on new connections either.";
