Read the rest of a refused request's body

Callers saw a kept connection end under their next request, and a response that is on its way could be destroyed by a reset: hyper closes a connection whose request body isn't read to its end, without saying so in the response, and with bytes unread the close is a TCP reset. Requests refused with 401, 404, 413 and 503 are answered before their body has come.

The response still goes out at once. The rest of the body is read and discarded in a task, up to the body limit and DISCARD_TIMEOUT, and the connection is kept. The request counts as open meanwhile, so that these bytes start no head time-out. If the rest is known to be too long, or the caller awaits permission to send it, the response says `Connection: close`. A connection whose body stays unread is closed with a lingering close: the sending side is shut down, and what arrives is discarded for LINGER_TIMEOUT.

--- a/crates/edge/src/accept.rs
+++ b/crates/edge/src/accept.rs
@@ -26,6 +26,7 @@
 use crate::body::{ResponseBody, Truncated};
 use crate::connection_end::ConnectionEnd;
 use crate::core::Core;
+use crate::discard::Linger;
 use crate::host::App;
 use crate::request;
 
@@ -40,10 +41,12 @@
 const MIN_HEAD_BYTES: usize = 8_192;
 /// Time that a connection being closed for idleness has to flush its last bytes.
 const CLOSE_TIMEOUT: Ms = Ms::secs(1);
-/// A TCP stream that reports reads and flushes to the connection's [`Activity`].
+/// A TCP stream that reports reads and flushes to the connection's [`Activity`], and lingers at its
+/// end if a request's body is unread.
 struct MonitoredStream {
     tcp: TcpStream,
     activity: Arc<Activity>,
+    linger: Option<Linger>,
 }
 
 impl AsyncRead for MonitoredStream {
@@ -92,7 +95,17 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.tcp).poll_shutdown(cx)
+        let this = &mut *self;
+        if let Some(linger) = &mut this.linger {
+            return linger.poll(&mut this.tcp, cx).map(Ok);
+        }
+        match Pin::new(&mut this.tcp).poll_shutdown(cx) {
+            Poll::Ready(Ok(())) if this.activity.has_unread_body() => {
+                let linger = this.linger.insert(Linger::start());
+                linger.poll(&mut this.tcp, cx).map(Ok)
+            }
+            polled => polled,
+        }
     }
 }
 
@@ -147,7 +160,7 @@
     // A failure only makes the connection slower.
     let _ = tcp.set_nodelay(true);
     let limits = core.limits();
-    let io = TokioIo::new(MonitoredStream { tcp, activity: activity.clone() });
+    let io = TokioIo::new(MonitoredStream { tcp, activity: activity.clone(), linger: None });
     let service = {
         let activity = activity.clone();
         service_fn(move |request| handle(app.clone(), activity.clone(), request))
--- a/crates/edge/src/activity.rs
+++ b/crates/edge/src/activity.rs
@@ -59,7 +59,7 @@
 }
 
 struct State {
-    /// Number of responses whose body is still produced.
+    /// Number of responses whose body is still produced, and of bodies that are being discarded.
     open: u64,
     /// Whether bytes of a response may wait for the caller to read.
     unflushed: bool,
@@ -149,6 +149,20 @@
         self.settle(&mut state);
     }
 
+    /// Records that the rest of the request's body is being discarded. The request counts as open
+    /// meanwhile: what arrives is no head.
+    pub(crate) fn discard_started(&self) {
+        self.state().open += 1;
+    }
+
+    /// Records that nothing more is discarded.
+    pub(crate) fn discard_ended(&self) {
+        let mut state = self.state();
+        state.open -= 1;
+        state.idle_since = self.clock.now();
+        self.settle(&mut state);
+    }
+
     /// Records that the response ends before its end.
     pub(crate) fn response_truncated(&self) {
         self.state().truncated = true;
@@ -170,6 +184,16 @@
         }
     }
 
+    /// Whether the body of the request was read to its end.
+    pub(crate) fn has_whole_body(&self) -> bool {
+        self.state().request.as_ref().is_some_and(|request| request.phase != Phase::Reading)
+    }
+
+    /// Whether the rest of a request's body was left unread.
+    pub(crate) fn has_unread_body(&self) -> bool {
+        self.state().unread
+    }
+
     /// What the connection has done so far.
     pub(crate) fn summary(&self) -> Summary {
         let state = self.state();
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -28,6 +28,7 @@
 mod dial;
 mod dialect;
 mod directory;
+mod discard;
 mod evacuate;
 mod events;
 mod follow;
--- a/crates/edge/src/request.rs
+++ b/crates/edge/src/request.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use catalog::{Catalog, Proof, Residency, Route, Workspace};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::{Body, Incoming};
+use hyper::body::Incoming;
 use hyper::http::request::Parts;
 use hyper::{Request, Response, header};
 use logs::note;
@@ -18,7 +18,7 @@
 use crate::dialect::RequestHead;
 use crate::host::App;
 use crate::refusal::{Reason, refuse};
-use crate::{plain, stream};
+use crate::{discard, plain, stream};
 
 /// Deadline of a request that names none, where the time-out of its route isn't shorter.
 pub(crate) const DEFAULT_DEADLINE: Ms = Ms::secs(60);
@@ -68,7 +68,7 @@
 /// Serves a request.
 pub(crate) async fn handle(
     app: Arc<App>,
-    activity: &Activity,
+    activity: &Arc<Activity>,
     request: Request<Incoming>,
 ) -> Response<ResponseBody> {
     let core = app.core.clone();
@@ -76,24 +76,40 @@
     core.open().fetch_add(1, Ordering::Relaxed);
     let _open = OpenGuard(app.clone());
     let (parts, mut body) = request.into_parts();
+    let awaits_permission = parts.headers.contains_key(header::EXPECT);
+    let mut response = respond(&app, activity, arrived, parts, &mut body).await;
+    discard::finish(activity, body, awaits_permission, core.limits().body_bytes, &mut response);
+    if core.stopping() {
+        // Makes the caller send its next request to a host that isn't stopping.
+        let close = header::HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+    }
+    response
+}
+
+/// The response to a request. The body may not have been read to its end.
+async fn respond(
+    app: &Arc<App>,
+    activity: &Activity,
+    arrived: Ms,
+    parts: Parts,
+    body: &mut Incoming,
+) -> Response<ResponseBody> {
+    let core = &app.core;
     let head = match core.dialect.parse_request(&parts) {
         Ok(head) => head,
-        Err(err) => {
-            note_unread(activity, &body);
-            return refuse(&core, "", Reason::Unreadable(err), Ms::ZERO);
-        }
+        Err(err) => return refuse(core, "", Reason::Unreadable(err), Ms::ZERO),
     };
     let id = head.id.clone();
     activity.request_named(&id);
     let waiting = Waiting { core: core.clone(), request: id.clone(), arrived, answered: false };
-    let admitted = admit(&app, arrived, head, parts, &mut body).await;
-    match admitted {
-        Ok(_) => activity.request_reached(Phase::Waiting),
-        Err(_) => note_unread(activity, &body),
+    let admitted = admit(app, arrived, head, parts, body).await;
+    if admitted.is_ok() {
+        activity.request_reached(Phase::Waiting);
     }
-    let mut response = match admitted {
+    let response = match admitted {
         Ok(call) if call.route.retry_safety.is_stream() => stream::run(app.clone(), call).await,
-        Ok(call) => plain::run(&core, &call).await,
+        Ok(call) => plain::run(core, &call).await,
         Err((reason, left)) => {
             note!(
                 logs::Event::RequestRefused,
@@ -104,25 +120,13 @@
                 left_ms = left.0
             );
             core.metrics.refused(reason.name());
-            refuse(&core, &id, reason, left)
+            refuse(core, &id, reason, left)
         }
     };
     waiting.answered();
-    if core.stopping() {
-        // Makes the caller send its next request to a host that isn't stopping.
-        let close = header::HeaderValue::from_static("close");
-        response.headers_mut().insert(header::CONNECTION, close);
-    }
     response
 }
 
-/// Records that a body is left unread if it has not come to its end.
-fn note_unread(activity: &Activity, body: &Incoming) {
-    if !body.is_end_stream() {
-        activity.body_left_unread();
-    }
-}
-
 /// Counts a request as open until the head of its response is ready.
 struct OpenGuard(Arc<App>);
 
