Count a connection as idle only once its response is written

A caller that reads a large response slowly had it cut: the connection counted as idle from the moment at which the response's body was handed over for writing, was closed after the idle limit, and one second later what was still unwritten was dropped.

A response now counts as open until the connection has been flushed.

--- a/crates/edge/src/activity.rs
+++ b/crates/edge/src/activity.rs
@@ -73,6 +73,14 @@
     unread: bool,
 }
 
+impl State {
+    /// Whether a request is open. A response counts until its last byte is written: its caller may
+    /// read slowly.
+    const fn is_busy(&self) -> bool {
+        self.open > 0 || self.unflushed
+    }
+}
+
 /// The activity of a connection.
 pub(crate) struct Activity {
     clock: Arc<dyn Clock>,
@@ -103,7 +111,7 @@
     /// Records that bytes have arrived.
     pub(crate) fn on_read(&self) {
         let mut state = self.state();
-        if state.open == 0 && state.head_since.is_none() {
+        if !state.is_busy() && state.head_since.is_none() {
             state.head_since = Some(self.clock.now());
         }
     }
@@ -145,8 +153,6 @@
         let mut state = self.state();
         state.open -= 1;
         state.unflushed = true;
-        state.idle_since = self.clock.now();
-        self.settle(&mut state);
     }
 
     /// Records that the rest of the request's body is being discarded. The request counts as open
@@ -159,7 +165,6 @@
     pub(crate) fn discard_ended(&self) {
         let mut state = self.state();
         state.open -= 1;
-        state.idle_since = self.clock.now();
         self.settle(&mut state);
     }
 
@@ -178,8 +183,13 @@
         self.state().unread = true;
     }
 
+    /// Begins the idle time once nothing is open any more.
     fn settle(&self, state: &mut State) {
-        if state.open == 0 && !state.unflushed && !state.truncated {
+        if state.is_busy() {
+            return;
+        }
+        state.idle_since = self.clock.now();
+        if !state.truncated {
             state.request = None;
         }
     }
@@ -219,7 +229,7 @@
     pub(crate) fn remaining(&self, idle_timeout: Ms, head_timeout: Ms) -> Ms {
         let state = self.state();
         let end = match state.head_since {
-            _ if state.open > 0 => return head_timeout,
+            _ if state.is_busy() => return head_timeout,
             None => state.idle_since + idle_timeout,
             Some(since) => since + head_timeout,
         };
