Line breaks after a request begin no head

A caller that sends a line break after its request lost the connection after the head time-out, long before the idle limit: any byte on an idle connection started the time-out of a head. Line breaks there are skipped by the HTTP library, so they no longer count.

--- a/crates/edge/src/accept.rs
+++ b/crates/edge/src/accept.rs
@@ -58,7 +58,7 @@
         let before = buf.filled().len();
         let polled = Pin::new(&mut self.tcp).poll_read(cx, buf);
         if buf.filled().len() > before {
-            self.activity.on_read();
+            self.activity.on_read(&buf.filled()[before..]);
         }
         polled
     }
--- a/crates/edge/src/activity.rs
+++ b/crates/edge/src/activity.rs
@@ -108,10 +108,12 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Records that bytes have arrived.
-    pub(crate) fn on_read(&self) {
+    /// Records that bytes have arrived. Line breaks before a head are skipped by the HTTP library,
+    /// and some callers send one after a body, so they begin no head.
+    pub(crate) fn on_read(&self, bytes: &[u8]) {
+        let begins = bytes.iter().any(|byte| !matches!(byte, b'\r' | b'\n'));
         let mut state = self.state();
-        if !state.is_busy() && state.head_since.is_none() {
+        if begins && !state.is_busy() && state.head_since.is_none() {
             state.head_since = Some(self.clock.now());
         }
     }
