Bound the time of a response that its caller does not take

Since a response counts as open until it is written, a caller that stopped without closing would hold its memory until the network gives it up. No test: none of this length in the suite.

--- a/crates/edge/src/accept.rs
+++ b/crates/edge/src/accept.rs
@@ -49,6 +49,15 @@
     linger: Option<Linger>,
 }
 
+impl MonitoredStream {
+    fn note_write(&self, polled: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+        if let Poll::Ready(Ok(_)) = polled {
+            self.activity.on_write();
+        }
+        polled
+    }
+}
+
 impl AsyncRead for MonitoredStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
@@ -70,7 +79,8 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.tcp).poll_write(cx, buf)
+        let polled = Pin::new(&mut self.tcp).poll_write(cx, buf);
+        self.note_write(polled)
     }
 
     fn poll_write_vectored(
@@ -78,7 +88,8 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.tcp).poll_write_vectored(cx, bufs)
+        let polled = Pin::new(&mut self.tcp).poll_write_vectored(cx, bufs);
+        self.note_write(polled)
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -178,6 +189,7 @@
             // A graceful shutdown would make hyper wait for the rest of the head. No request has
             // been read, so nothing is lost.
             Timeout::Head => ConnectionEnd::SlowHead,
+            Timeout::Stall => ConnectionEnd::Stalled,
             // No request is open. One that arrives at this moment is not read, and its caller
             // sends it again.
             Timeout::Idle => {
--- a/crates/edge/src/activity.rs
+++ b/crates/edge/src/activity.rs
@@ -3,6 +3,10 @@
 use base::{Clock, Ms};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
+/// Time for which a caller may take nothing of a complete response. Callers that stopped without
+/// closing would otherwise hold its memory until the network gives them up.
+const STALL_TIMEOUT: Ms = Ms::secs(30);
+
 /// How far a request is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Phase {
@@ -41,6 +45,8 @@
     Idle,
     /// A request head was begun but not completed in time.
     Head,
+    /// The caller reads none of a complete response.
+    Stall,
 }
 
 /// What a connection has done so far.
@@ -63,6 +69,8 @@
     open: u64,
     /// Whether bytes of a response may wait for the caller to read.
     unflushed: bool,
+    /// When the caller last took bytes of a response.
+    written_at: Ms,
     request: Option<OpenRequest>,
     served: u64,
     idle_since: Ms,
@@ -93,6 +101,7 @@
         let state = State {
             open: 0,
             unflushed: false,
+            written_at: clock.now(),
             request: None,
             served: 0,
             idle_since: clock.now(),
@@ -118,6 +127,11 @@
         }
     }
 
+    /// Records that bytes were written.
+    pub(crate) fn on_write(&self) {
+        self.state().written_at = self.clock.now();
+    }
+
     /// Records that everything written so far has left the process.
     pub(crate) fn on_flush(&self) {
         let mut state = self.state();
@@ -218,20 +232,22 @@
         }
     }
 
-    /// Which of the two time-outs applies at the moment.
+    /// Which of the time-outs applies at the moment.
     pub(crate) fn timeout_kind(&self) -> Timeout {
-        match self.state().head_since {
-            None => Timeout::Idle,
-            Some(_) => Timeout::Head,
+        match *self.state() {
+            State { unflushed: true, .. } => Timeout::Stall,
+            State { head_since: Some(_), .. } => Timeout::Head,
+            _ => Timeout::Idle,
         }
     }
 
-    /// Time until the connection has to be checked again; zero when a time-out has passed. With
-    /// requests open no time-out runs, so that is `head_timeout` from now.
+    /// Time until the connection has to be checked again; zero when a time-out has passed. While a
+    /// response is produced no time-out runs, so that is `head_timeout` from now.
     pub(crate) fn remaining(&self, idle_timeout: Ms, head_timeout: Ms) -> Ms {
         let state = self.state();
         let end = match state.head_since {
-            _ if state.is_busy() => return head_timeout,
+            _ if state.open > 0 => return head_timeout,
+            _ if state.unflushed => state.written_at + STALL_TIMEOUT,
             None => state.idle_since + idle_timeout,
             Some(since) => since + head_timeout,
         };
--- a/crates/edge/src/connection_end.rs
+++ b/crates/edge/src/connection_end.rs
@@ -14,6 +14,8 @@
     Idle,
     /// A request head was not complete in time.
     SlowHead,
+    /// The caller read nothing of a complete response for too long.
+    Stalled,
     /// The host is stopping.
     Stopping,
     /// Too many connections are open.
@@ -52,6 +54,7 @@
             Self::Caller => "caller",
             Self::Idle => "idle",
             Self::SlowHead => "slow_head",
+            Self::Stalled => "stalled",
             Self::Stopping => "stopping",
             Self::TooMany => "too_many",
             Self::Protocol => "protocol",
