Keep idle connections for the time that their callers were told

Callers met a closed connection after a configuration with a shorter idle limit: the limit of the newest configuration was applied to connections that had become idle under the one before, and no response told callers the limit.

Responses on kept connections say `Keep-Alive: timeout=N`, in whole seconds. A connection is closed after the limit that its caller was told last (or that held when it connected), or the declared one if that is longer by now, and IDLE_MARGIN later, so that a request sent just within the limit arrives.

--- a/crates/edge/src/accept.rs
+++ b/crates/edge/src/accept.rs
@@ -8,7 +8,7 @@
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Request, Response, header};
+use hyper::{HeaderMap, Request, Response, header};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use link::Stop;
 use logs::note;
@@ -159,7 +159,7 @@
 /// Serves a connection until its end, and records why it ended.
 async fn serve_connection(tcp: TcpStream, app: Arc<App>, stop: Stop) {
     let core = app.core.clone();
-    let activity = Arc::new(Activity::new(core.clock.clone()));
+    let activity = Arc::new(Activity::new(core.clock.clone(), core.limits().idle_timeout));
     let served = AssertUnwindSafe(run_connection(tcp, app, &activity, stop)).catch_unwind();
     if served.await.is_err() {
         ConnectionEnd::Panicked.record(&core, &activity);
@@ -237,14 +237,33 @@
 ) -> Result<Response<ResponseBody>, Infallible> {
     activity.request_started();
     let guard = OpenGuard(activity.clone());
-    let response = request::handle(app, &activity, request).await;
-    if response.headers().get(header::CONNECTION).is_some_and(|value| value == "close") {
-        activity.close_announced();
+    let keeps = !is_close(request.headers());
+    let core = app.core.clone();
+    let mut response = request::handle(app, &activity, request).await;
+    match is_close(response.headers()) {
+        true => activity.close_announced(),
+        false if keeps => tell_idle_limit(&core, &activity, response.headers_mut()),
+        false => {}
     }
     activity.request_reached(Phase::Answering);
     Ok(response.map(|body| GuardedBody { body, guard }.boxed_unsync()))
 }
 
+fn is_close(head: &HeaderMap) -> bool {
+    head.get(header::CONNECTION)
+        .is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"close"))
+}
+
+/// Tells the caller how long it may leave its connection idle. This holds for it until it is told
+/// another limit.
+fn tell_idle_limit(core: &Core, activity: &Activity, head: &mut HeaderMap) {
+    let limit = core.limits().idle_timeout;
+    activity.idle_limit_told(limit);
+    if let Some((name, value)) = core.dialect.keep_alive_header(limit) {
+        head.insert(name, value);
+    }
+}
+
 /// A body that keeps its request counted as open until it is sent or dropped.
 struct GuardedBody {
     body: ResponseBody,
--- a/crates/edge/src/activity.rs
+++ b/crates/edge/src/activity.rs
@@ -3,6 +3,9 @@
 use base::{Clock, Ms};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
+/// Time for which a connection is kept past its idle limit. A request that its caller sends just
+/// within the limit needs time to arrive.
+const IDLE_MARGIN: Ms = Ms(250);
 /// Time for which a caller may take nothing of a complete response. Callers that stopped without
 /// closing would otherwise hold its memory until the network gives them up.
 const STALL_TIMEOUT: Ms = Ms::secs(30);
@@ -58,6 +61,8 @@
     pub(crate) served: u64,
     /// Time since the last request ended.
     pub(crate) idle: Ms,
+    /// The idle limit that the caller was told last, or that held when it connected.
+    pub(crate) idle_limit: Ms,
     /// Whether a response said that the host would close the connection.
     pub(crate) announced: bool,
     /// Whether the rest of a request's body was left unread.
@@ -76,6 +81,8 @@
     idle_since: Ms,
     /// When the first bytes of an unfinished head arrived.
     head_since: Option<Ms>,
+    /// The idle limit that the caller was told last, or that held when it connected.
+    idle_limit: Ms,
     truncated: bool,
     announced: bool,
     unread: bool,
@@ -97,7 +104,7 @@
 
 impl Activity {
     /// A connection that has just been opened.
-    pub(crate) fn new(clock: Arc<dyn Clock>) -> Self {
+    pub(crate) fn new(clock: Arc<dyn Clock>, idle_limit: Ms) -> Self {
         let state = State {
             open: 0,
             unflushed: false,
@@ -106,6 +113,7 @@
             served: 0,
             idle_since: clock.now(),
             head_since: None,
+            idle_limit,
             truncated: false,
             announced: false,
             unread: false,
@@ -189,6 +197,11 @@
         self.state().truncated = true;
     }
 
+    /// Records that a response told the caller this idle limit.
+    pub(crate) fn idle_limit_told(&self, limit: Ms) {
+        self.state().idle_limit = limit;
+    }
+
     /// Records that a response said that the host would close the connection.
     pub(crate) fn close_announced(&self) {
         self.state().announced = true;
@@ -227,6 +240,7 @@
             request: state.request.clone(),
             served: state.served,
             idle: self.clock.now() - state.idle_since,
+            idle_limit: state.idle_limit,
             announced: state.announced,
             unread: state.unread,
         }
@@ -242,13 +256,14 @@
     }
 
     /// Time until the connection has to be checked again; zero when a time-out has passed. While a
-    /// response is produced no time-out runs, so that is `head_timeout` from now.
+    /// response is produced no time-out runs, so that is `head_timeout` from now. A caller goes on under
+    /// the idle limit that it was told, also if `idle_timeout` is shorter by now.
     pub(crate) fn remaining(&self, idle_timeout: Ms, head_timeout: Ms) -> Ms {
         let state = self.state();
         let end = match state.head_since {
             _ if state.open > 0 => return head_timeout,
             _ if state.unflushed => state.written_at + STALL_TIMEOUT,
-            None => state.idle_since + idle_timeout,
+            None => state.idle_since + state.idle_limit.max(idle_timeout) + IDLE_MARGIN,
             Some(since) => since + head_timeout,
         };
         end - self.clock.now()
--- a/crates/edge/src/connection_end.rs
+++ b/crates/edge/src/connection_end.rs
@@ -2,7 +2,7 @@
 
 use logs::note;
 
-use crate::activity::Activity;
+use crate::activity::{Activity, Summary};
 use crate::core::Core;
 
 /// Why a caller's connection ended.
@@ -75,7 +75,7 @@
     pub(crate) fn record(self, core: &Core, activity: &Activity) {
         core.metrics.caller_connection_closed(self.name());
         let seen = activity.summary();
-        let limit = self.limit_ms(core);
+        let limit = self.limit_ms(core, &seen);
         match seen.request {
             Some(request) if self != Self::Caller => note!(
                 logs::Event::CallerAnswerCut,
@@ -97,10 +97,10 @@
         }
     }
 
-    /// The declared limit that applied, ms.
-    fn limit_ms(self, core: &Core) -> Option<u64> {
+    /// The limit that applied, ms.
+    fn limit_ms(self, core: &Core, seen: &Summary) -> Option<u64> {
         match self {
-            Self::Idle => Some(core.limits().idle_timeout.0),
+            Self::Idle => Some(core.limits().idle_timeout.max(seen.idle_limit).0),
             Self::SlowHead => Some(core.limits().header_timeout.0),
             _ => None,
         }
--- a/crates/edge/src/dialect.rs
+++ b/crates/edge/src/dialect.rs
@@ -2,6 +2,7 @@
 //! platform's own headers and bodies are known to the implementation only.
 
 use bytes::Bytes;
+use hyper::header::{HeaderName, HeaderValue};
 use hyper::http::{request, response};
 use hyper::{HeaderMap, Request, StatusCode};
 use sched::batch::{CallEnd, Piece, TargetReport};
@@ -195,6 +196,10 @@
     /// Headers of a response by which the host itself refuses a request.
     fn refusal_headers(&self, id: &str, retry_after: Option<Ms>) -> HeaderMap;
 
+    /// The header that tells a caller for how long its connection may be idle; none for a time that
+    /// it can't express.
+    fn keep_alive_header(&self, idle: Ms) -> Option<(HeaderName, HeaderValue)>;
+
     /// The request of a call to a stage target.
     fn stage_call(&self, call: &StageCall<'_>) -> Request<Bytes>;
 
