Read what has arrived before a connection is closed for idleness

Callers met a closed connection although their request had arrived within the idle limit: after a pause of the host the arrived bytes and the time-out are due at the same moment, and the select took one of them at random. Closed with bytes unread, the connection was reset.

The connection is now polled before the time-outs.

--- a/crates/edge/src/accept.rs
+++ b/crates/edge/src/accept.rs
@@ -184,6 +184,9 @@
         .serve_connection(io, service);
     let mut conn = std::pin::pin!(conn);
     let end = tokio::select! {
+        // After a pause of this process, bytes that have arrived and a time-out are due at the same
+        // moment. What has arrived is read first.
+        biased;
         result = conn.as_mut() => ConnectionEnd::of(&result, activity, false),
         timeout = timed_out(&core, activity) => match timeout {
             // A graceful shutdown would make hyper wait for the rest of the head. No request has
