Give a request that was read beside an idle close its answer

After an idle close the connection was dropped within CLOSE_TIMEOUT (1 s) whatever it did. By reading, a request that hyper still read would have been cut there. The bound now applies only while no request is open.

--- a/crates/edge/src/accept.rs
+++ b/crates/edge/src/accept.rs
@@ -197,7 +197,7 @@
             // sends it again.
             Timeout::Idle => {
                 conn.as_mut().graceful_shutdown();
-                let _ = tokio::time::timeout(CLOSE_TIMEOUT.duration(), conn.as_mut()).await;
+                finish(conn.as_mut(), activity).await;
                 ConnectionEnd::Idle
             }
         },
@@ -211,6 +211,16 @@
     end.record(&core, activity);
 }
 
+/// Completes when a connection that is being closed has ended, or is idle for [`CLOSE_TIMEOUT`]. A
+/// request that was still read gets its answer, however long that takes.
+async fn finish<F: Future>(mut conn: Pin<&mut F>, activity: &Activity) {
+    while tokio::time::timeout(CLOSE_TIMEOUT.duration(), conn.as_mut()).await.is_err() {
+        if !activity.is_busy() {
+            return;
+        }
+    }
+}
+
 /// Completes when the connection has been idle, or a request head incomplete, for too long.
 async fn timed_out(core: &Core, activity: &Activity) -> Timeout {
     loop {
--- a/crates/edge/src/activity.rs
+++ b/crates/edge/src/activity.rs
@@ -223,6 +223,11 @@
         }
     }
 
+    /// Whether a request is open.
+    pub(crate) fn is_busy(&self) -> bool {
+        self.state().is_busy()
+    }
+
     /// Whether the body of the request was read to its end.
     pub(crate) fn has_whole_body(&self) -> bool {
         self.state().request.as_ref().is_some_and(|request| request.phase != Phase::Reading)
