Close connections that have an older header limit after their next response

Callers got a final refusal (431) of a request that the configuration allows: the limit of a request head is fixed when a connection opens, and connections opened under a lower limit kept it.

A response on such a connection says `Connection: close`. A long head that arrives before any response is still refused.

--- a/crates/edge/src/accept.rs
+++ b/crates/edge/src/accept.rs
@@ -170,17 +170,17 @@
     let core = app.core.clone();
     // A failure only makes the connection slower.
     let _ = tcp.set_nodelay(true);
-    let limits = core.limits();
+    let head_bytes = max_head_bytes(&core);
     let io = TokioIo::new(MonitoredStream { tcp, activity: activity.clone(), linger: None });
     let service = {
         let activity = activity.clone();
-        service_fn(move |request| handle(app.clone(), activity.clone(), request))
+        service_fn(move |request| handle(app.clone(), activity.clone(), head_bytes, request))
     };
     let conn = http1::Builder::new()
         .timer(TokioTimer::new())
         // hyper's own time-out would count the idle time between requests as a slow head.
         .header_read_timeout(None)
-        .max_buf_size(limits.header_bytes.max(MIN_HEAD_BYTES))
+        .max_buf_size(head_bytes)
         .serve_connection(io, service);
     let mut conn = std::pin::pin!(conn);
     let end = tokio::select! {
@@ -246,6 +246,7 @@
 async fn handle(
     app: Arc<App>,
     activity: Arc<Activity>,
+    head_bytes: usize,
     request: Request<Incoming>,
 ) -> Result<Response<ResponseBody>, Infallible> {
     activity.request_started();
@@ -253,6 +254,11 @@
     let keeps = !is_close(request.headers());
     let core = app.core.clone();
     let mut response = request::handle(app, &activity, request).await;
+    if max_head_bytes(&core) != head_bytes {
+        // The limit of an open connection can't be changed.
+        let close = header::HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+    }
     match is_close(response.headers()) {
         true => activity.close_announced(),
         false if keeps => tell_idle_limit(&core, &activity, response.headers_mut()),
@@ -262,6 +268,11 @@
     Ok(response.map(|body| GuardedBody { body, guard }.boxed_unsync()))
 }
 
+/// The limit of a request head on a connection that is opened now, bytes.
+fn max_head_bytes(core: &Core) -> usize {
+    core.limits().header_bytes.max(MIN_HEAD_BYTES)
+}
+
 fn is_close(head: &HeaderMap) -> bool {
     head.get(header::CONNECTION)
         .is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"close"))
