--- a/crates/logs/src/event.rs
+++ b/crates/logs/src/event.rs
@@ -70,6 +70,9 @@
     StageFailed = 210, Info, "A stage of a request failed: its outcome, and how long a stage submitted now would wait.";
     StreamLeft = 211, Info, "A caller disconnected in the middle of its stream.";
     StreamTakenUp = 212, Info, "A caller took up a stream of an earlier attempt; its first event is on its way.";
+    CallerConnectionClosed = 213, Info, "The host closed a caller's connection on which no request was open, for another reason than idleness or a stop: the reason, the requests served, and the limit that applied.";
+    CallerAnswerCut = 214, Warn, "The host closed a caller's connection before a response was complete: the reason, the request, and how far it was.";
+    RequestPanicked = 215, Error, "The handling of a request panicked; its caller got a failure.";
     EngineSilent = 216, Info, "An engine has sent nothing of a stream for long; another one is asked to go on, and it is kept until that one has begun.";
     EngineResponds = 217, Info, "An engine that was silent goes on with its stream.";
     AnswerMismatch = 300, Warn, "An answer belonged to another request, stage or attempt and was dropped with its connection.";
