Admission: a peak of the most urgent rank within the capacity is not refused

Callers of the most urgent kind were refused in a burst of all kinds although this kind alone is within the capacity and less urgent work was queued at the same stage. The bound of the test had been raised to 1 in 100 to pass over it.

Cause: half of the slack is reserved for requests of higher ranks that arrive later, and it was reserved for the most urgent rank too, which nothing goes before.

Change: the most urgent rank that requests with stages can have in the catalog may wait for its whole slack. A host that rejects a request of this rank applies the half to it too for 5 s: then the rank alone exceeds the capacity, and arrivals of a report interval make admitted requests late.

--- a/bins/siskinwheel-bench/src/admission.rs
+++ b/bins/siskinwheel-bench/src/admission.rs
@@ -57,6 +57,7 @@
         region: &region,
         rank: 1,
         workspace: WorkspaceKey(0),
+        most_urgent: false,
         movable: true,
         stages: &stages,
         last: StageWait { time: 100.0, wait: 0.0 },
--- a/crates/catalog/src/model.rs
+++ b/crates/catalog/src/model.rs
@@ -249,6 +249,7 @@
     routes: HashMap<String, Vec<Arc<Route>>>,
     services: HashMap<PoolId, Arc<Service>>,
     keys: Option<HashMap<String, Arc<Workspace>>>,
+    top_stage_rank: u8,
 }
 
 impl Catalog {
@@ -270,7 +271,26 @@
             routes.sort_by_key(|r| std::cmp::Reverse(r.prefix.len()));
         }
         let services = services.into_iter().map(|s| (s.name.clone(), Arc::new(s))).collect();
-        Ok(Self { version, limits, routes: by_host, services, keys })
+        let mut catalog =
+            Self { version, limits, routes: by_host, services, keys, top_stage_rank: MAX_RANK };
+        catalog.top_stage_rank = catalog.stage_ranks().min().unwrap_or(MAX_RANK);
+        Ok(catalog)
+    }
+
+    /// The most urgent rank that a request with stages can have.
+    pub fn top_stage_rank(&self) -> u8 {
+        self.top_stage_rank
+    }
+
+    /// The ranks of requests with stages, of each route without a workspace and with each one.
+    fn stage_ranks(&self) -> impl Iterator<Item = u8> {
+        let staged = self.routes().filter(|route| !route.stages.is_empty());
+        staged.flat_map(|route| {
+            let keyless = route.public || self.keys.is_none();
+            let workspaces = self.keys.iter().flat_map(HashMap::values);
+            let ranks = workspaces.map(|w| route.rank(Some(w)));
+            ranks.chain(keyless.then(|| route.rank(None)))
+        })
     }
 
     /// The route of a request: the one with the longest matching path prefix among the routes of
--- a/crates/catalog/tests/routes.rs
+++ b/crates/catalog/tests/routes.rs
@@ -89,6 +89,28 @@
     assert!(route("r", "a", "/x/").rank(None) < MAX_RANK);
 }
 
+// Guards against a request that counts as the most urgent one because a route without stages, or one
+// that needs a key, would have a rank that no request with stages can have.
+#[test]
+fn the_most_urgent_rank_with_stages_is_of_a_route_and_workspace_that_exist() {
+    let stages = vec![Stage { service: "s".into(), after: vec![], bytes: 0 }];
+    let staged = |priority| Route { priority, stages: stages.clone(), ..route("r", "a", "/x/") };
+    let plain = Route { priority: 0, ..route("p", "a", "/p/") };
+    let ranks = catalog(vec![plain.clone(), staged(2), staged(3)]).unwrap();
+    assert_eq!(ranks.top_stage_rank(), staged(2).rank(None));
+    assert_eq!(catalog(vec![plain]).unwrap().top_stage_rank(), MAX_RANK);
+    let keyed = |priority| Workspace {
+        name: "painters".into(),
+        priority: Some(priority),
+        residency: Residency::Anywhere,
+    };
+    let keys = HashMap::from([("k1".to_owned(), Arc::new(keyed(4)))]);
+    let new = |routes| Catalog::new(3, Limits::default(), routes, Vec::new(), Some(keys.clone()));
+    assert_eq!(new(vec![staged(2)]).unwrap().top_stage_rank(), staged(2).rank(Some(&keyed(4))));
+    let public = Route { public: true, ..staged(2) };
+    assert_eq!(new(vec![public]).unwrap().top_stage_rank(), staged(2).rank(None));
+}
+
 #[test]
 fn only_stages_that_no_other_stage_reads_go_to_the_engine() {
     let mut route = route("r", "a", "/x/");
--- a/crates/edge/src/stages/admission.rs
+++ b/crates/edge/src/stages/admission.rs
@@ -114,6 +114,7 @@
         let request = Request {
             region: &region,
             rank: self.call.rank(),
+            most_urgent: self.call.rank() <= self.call.catalog.top_stage_rank(),
             workspace: WorkspaceKey::of(self.workspace()),
             movable: self.call.residency == catalog::Residency::Anywhere,
             stages: &stages,
--- a/crates/sched/src/admission/mod.rs
+++ b/crates/sched/src/admission/mod.rs
@@ -7,7 +7,8 @@
 //! The host that receives a request predicts when its chain of stages would end, by the [`fluid`]
 //! model and the loads that the composers report. It rejects the request if that is past the
 //! latency goal because of the work ahead. Waits may use only a part of the slack, see
-//! [`fluid::MAX_SLACK_SHARE`]. With no work ahead, with a load missing or older than [`MAX_AGE`], or
+//! [`fluid::MAX_SLACK_SHARE`]; those of the most urgent rank may use all of it until a request of
+//! that rank is rejected. With no work ahead, with a load missing or older than [`MAX_AGE`], or
 //! if the chain would be late even with empty queues, the request is admitted.
 //!
 //! All hosts decide on the same reports, so each counts what it admitted itself since the report.
@@ -31,6 +32,9 @@
 /// Age from which on a request that this host admitted is in the loads that arrive: its work and
 /// the load each cross the network once, at most between regions.
 const REPORT_DELAY: Ms = Ms(60);
+/// Time for which a region counts as saturated after a request of the most urgent rank was rejected
+/// there: longer than a queue that takes up a whole latency goal.
+const SATURATION_TIME: Ms = Ms::secs(5);
 
 /// One stage of a request, in the region where it will be run.
 #[derive(Clone, Copy, Debug)]
@@ -52,6 +56,8 @@
     pub region: &'a RegionId,
     /// Its rank; 0 is the most urgent.
     pub rank: u8,
+    /// Whether no request with stages has a more urgent rank.
+    pub most_urgent: bool,
     /// Its workspace.
     pub workspace: WorkspaceKey,
     /// Whether its stages may be passed on to other regions.
@@ -131,6 +137,8 @@
 pub struct Admission {
     reports: HashMap<RegionId, HashMap<PoolId, Report>>,
     admitted: Vec<Admitted>,
+    /// When a request of the most urgent rank was last rejected, by region.
+    saturated: HashMap<RegionId, Ms>,
 }
 
 impl Admission {
@@ -158,18 +166,22 @@
     pub fn decide(&mut self, now: Ms, left: Ms, request: &Request<'_>) -> Prediction {
         let ahead = self.ahead_of_new(now, request).unwrap_or_default();
         let decision = match ahead.len() == request.stages.len() {
-            true => self.assess(left, request, &ahead),
+            true => self.assess(now, left, request, &ahead),
             false => Decision::Admit,
         };
-        if decision == Decision::Admit {
-            self.admit(now, request);
+        match decision {
+            Decision::Admit => self.admit(now, request),
+            Decision::Reject(_) if request.most_urgent => {
+                self.saturated.insert(request.region.clone(), now);
+            }
+            Decision::Reject(_) => {}
         }
         Prediction { decision, ahead }
     }
 
-    fn assess(&self, left: Ms, request: &Request<'_>, ahead: &[Ahead]) -> Decision {
+    fn assess(&self, now: Ms, left: Ms, request: &Request<'_>, ahead: &[Ahead]) -> Decision {
         let chain = chain(request, ahead, |i| self.call(request, i));
-        let assessment = assess(left, chain, MAX_SLACK_SHARE);
+        let assessment = assess(left, chain, self.slack_share(now, request));
         let (Assessment::FitsLater(retry_after), Some(bottleneck)) = (assessment, chain.bottleneck)
         else {
             return Decision::Admit;
@@ -186,6 +198,19 @@
         })
     }
 
+    /// Share of its slack that a new request may wait.
+    ///
+    /// No higher rank goes before the most urgent one, so a queue of it that exceeds the usual share
+    /// is a short peak, unless it alone exceeds the capacity. Then a request is rejected that would
+    /// need more than its whole slack, and from then on the usual share applies to it too.
+    fn slack_share(&self, now: Ms, request: &Request<'_>) -> f64 {
+        let saturated = self.saturated.get(request.region);
+        match saturated.is_some_and(|at| now - *at < SATURATION_TIME) {
+            false if request.most_urgent => 1.0,
+            _ => MAX_SLACK_SHARE,
+        }
+    }
+
     /// Checks whether the rest of a request that is being run can end within `left`. Returns the
     /// wait for its next stage if it can't because of the work queued ahead.
     ///
--- a/crates/sched/tests/admission.rs
+++ b/crates/sched/tests/admission.rs
@@ -35,6 +35,7 @@
     f(&Request {
         region: &RegionId::from("r"),
         rank: 1,
+        most_urgent: false,
         workspace: OWN,
         movable: true,
         stages: &stages,
@@ -211,13 +212,21 @@
 #[test]
 fn a_burst_of_all_kinds_wastes_little() {
     let (with, without) = (outcomes(&all(2.2), true, |_| {}), outcomes(&all(2.2), false, |_| {}));
-    // The most urgent kind alone is within the capacity, but its arrivals vary.
-    assert!(with[0].rejected * 100 <= with[0].sent);
+    // The most urgent kind alone is within the capacity.
+    assert_eq!(with[0].rejected, 0);
     assert!(with[0].on_time * 100 >= without[0].on_time * 98);
     assert!(with[2].on_time >= without[2].on_time * 3 / 2);
     assert!(with[2].given_up <= without[2].given_up / 4);
 }
 
+// Guards against a most urgent rank that uses its whole slack although it alone exceeds the capacity,
+// and is admitted to be late.
+#[test]
+fn a_saturated_most_urgent_rank_is_on_time_beside_a_lower_one() {
+    let urgent = outcomes(&[flow(URGENT, 1, 180.0, 30), flow(LOW, 1, 110.0, 30)], true, |_| {})[0];
+    assert!(share(urgent.on_time, urgent.sent - urgent.rejected) >= 0.9);
+}
+
 // Guards against 15 small workspaces that are refused, or late, because of a large one.
 #[test]
 fn a_large_workspace_does_not_displace_small_ones() {
--- a/crates/sched/tests/chains/mod.rs
+++ b/crates/sched/tests/chains/mod.rs
@@ -232,6 +232,7 @@
         let request = Request {
             region: &region(),
             rank: kind.rank,
+            most_urgent: kind.rank == URGENT.rank,
             workspace: WorkspaceKey(workspace),
             movable: true,
             stages: &stages,
