Pace: a response counts under the pace at which it was served

Plain requests went on to a target whose answers report that it has become slow (pace 900): it got 6 to 9 of 12 requests, where 4 are the bound.

Cause: the service time of a target is its measured response time divided by the mean pace of the responses that it was measured from, and each response counted under the pace in its own head. The first response that reports pace 9 was served at pace 1, in 5 ms. Counted under 9 it brings the mean to 2.2, so the expected response is 5 / 2.2 x 8.8 = 20 ms instead of 45, as much as that of the other target (20 ms and a little more): the report cancels itself, and the draw of load and timing decides. The second one brings it to 14 ms.

Change: a response counts under the pace that the report before it tells at the time of sending, at its age, and for the rest under its own. The usual pace stays the mean of what was reported.

--- a/crates/edge/src/links.rs
+++ b/crates/edge/src/links.rs
@@ -140,7 +140,7 @@
     pub(crate) fn record(&self, now: Ms, outcome: Outcome) {
         self.health().record(now, outcome);
         match outcome {
-            Outcome::Good(_) => self.reports.record_response(now, self.entry.slots),
+            Outcome::Good(took) => self.reports.record_response(now, took, self.entry.slots),
             // It may have been restarted, and be cold before its new registration is known.
             Outcome::NoConnection | Outcome::Broken | Outcome::Silent => {
                 self.warmup().suspect_until(now + self.rejoin_time);
--- a/crates/edge/src/reports.rs
+++ b/crates/edge/src/reports.rs
@@ -1,7 +1,7 @@
 //! What one target reports about its load and pace, and how its measured times compare.
 
 use base::Ms;
-use sched::pace::{self, Pace, Slowness, Usual, Watch};
+use sched::pace::{self, Pace, Response, Slowness, Usual, Watch};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
@@ -14,12 +14,19 @@
 /// The reports of one target.
 #[derive(Default)]
 pub(crate) struct Reports {
-    last: Mutex<Option<(Ms, Load)>>,
+    latest: Mutex<Latest>,
     /// Requests of this host that began since the last report.
     unreported: AtomicU32,
     speed: Mutex<Speed>,
 }
 
+/// The latest reports, each with its time.
+#[derive(Clone, Copy, Default)]
+struct Latest {
+    last: Option<(Ms, Load)>,
+    before: Option<(Ms, Load)>,
+}
+
 /// How fast a target is, by its reports and by measured response times.
 #[derive(Default)]
 pub(crate) struct Speed {
@@ -34,7 +41,10 @@
 impl Reports {
     /// Sets the load that the target reported.
     pub(crate) fn set(&self, now: Ms, load: Load) {
-        *self.last.lock().unwrap_or_else(PoisonError::into_inner) = Some((now, load));
+        {
+            let mut latest = self.latest.lock().unwrap_or_else(PoisonError::into_inner);
+            *latest = Latest { last: Some((now, load)), before: latest.last };
+        }
         self.unreported.store(0, Ordering::Relaxed);
     }
 
@@ -45,8 +55,7 @@
 
     /// The pace that it reported last; none if its last report had none.
     pub(crate) fn pace(&self) -> Option<Pace> {
-        let (at, load) = self.last()?;
-        Some(Pace::new(load.pace?, at))
+        reported_pace(self.latest().last)
     }
 
     /// How fast it is.
@@ -71,19 +80,27 @@
         self.fresh(now).map_or(0, |load| load.waiting)
     }
 
-    /// Records under which pace and queue a response time was measured. The target has `slots`.
-    pub(crate) fn record_response(&self, now: Ms, slots: u32) {
-        let Some((at, load)) = self.last() else { return };
-        let Some(percent) = load.pace else { return };
+    /// Records under which pace and queue the response time `took` was measured. The target has
+    /// `slots`.
+    pub(crate) fn record_response(&self, now: Ms, took: Ms, slots: u32) {
+        let Latest { last, before } = self.latest();
+        let (Some(pace), Some((_, load))) = (reported_pace(last), last) else { return };
         let queue = pace::queue_factor(load.running + load.waiting, slots);
-        self.speed().usual.record(now, Pace::new(percent, at), queue);
+        let response = Response { begun: now - took, before: reported_pace(before), pace, queue };
+        self.speed().usual.record(now, &response);
     }
 
-    fn last(&self) -> Option<(Ms, Load)> {
-        *self.last.lock().unwrap_or_else(PoisonError::into_inner)
+    fn latest(&self) -> Latest {
+        *self.latest.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     fn fresh(&self, now: Ms) -> Option<Load> {
-        self.last().filter(|(at, _)| now - *at <= LOAD_MAX_AGE).map(|(_, load)| load)
+        self.latest().last.filter(|(at, _)| now - *at <= LOAD_MAX_AGE).map(|(_, load)| load)
     }
 }
+
+/// The pace in a report; none if it has none.
+fn reported_pace(report: Option<(Ms, Load)>) -> Option<Pace> {
+    let (at, load) = report?;
+    Some(Pace::new(load.pace?, at))
+}
--- a/crates/sched/src/pace.rs
+++ b/crates/sched/src/pace.rs
@@ -77,30 +77,67 @@
 /// a normal one.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Usual {
-    mean: Option<(f64, f64)>,
+    mean: Option<Means>,
     at: Ms,
 }
 
+/// Moving averages of a target's responses.
+#[derive(Clone, Copy, Debug)]
+struct Means {
+    /// Factor that it reported.
+    reported: f64,
+    /// Factor under which it served the request.
+    effective: f64,
+    /// Factor of its queue.
+    queue: f64,
+}
+
+/// A response with what the target reported.
+#[derive(Clone, Copy, Debug)]
+pub struct Response {
+    /// When its request was sent.
+    pub begun: Ms,
+    /// The report before the response's own.
+    pub before: Option<Pace>,
+    /// The report in the response.
+    pub pace: Pace,
+    /// Factor of the queue, see [`queue_factor`].
+    pub queue: f64,
+}
+
+impl Response {
+    /// The factor under which the request was served. A response that reports a change was served
+    /// before it: if it counted under the new pace, its ordinary response time would seem to show
+    /// that the target serves requests quickly even so, and the report would have no effect.
+    fn effective(&self) -> f64 {
+        let own = self.pace.reported();
+        self.before.map_or(own, |before| before.factor_from(self.begun, own))
+    }
+}
+
 impl Usual {
-    /// Records a response at this pace, behind a queue of this factor.
-    pub fn record(&mut self, now: Ms, pace: Pace, queue: f64) {
-        let (pace_mean, queue_mean) = self.mean.get_or_insert((pace.reported(), queue));
-        *pace_mean += SAMPLE_WEIGHT * (pace.reported() - *pace_mean);
-        *queue_mean += SAMPLE_WEIGHT * (queue - *queue_mean);
+    /// Records a response.
+    pub fn record(&mut self, now: Ms, response: &Response) {
+        let (reported, effective, queue) =
+            (response.pace.reported(), response.effective(), response.queue);
+        let mean = self.mean.get_or_insert(Means { reported, effective, queue });
+        mean.reported += SAMPLE_WEIGHT * (reported - mean.reported);
+        mean.effective += SAMPLE_WEIGHT * (effective - mean.effective);
+        mean.queue += SAMPLE_WEIGHT * (queue - mean.queue);
         self.at = now;
     }
 
     /// Mean factor, from pace and queue. A response time divided by it is that of the idle target at
     /// the normal pace.
     pub fn stretch(&self) -> f64 {
-        self.mean.map_or(1.0, |(pace, queue)| pace * queue)
+        self.mean.map_or(1.0, |mean| mean.effective * mean.queue)
     }
 
     /// The factor of its pace that is assumed without a recent report. What exceeds
     /// `MILD_FACTOR` fades while there is no response, so that the target is tried again when
     /// others are half full.
     pub fn pace(&self, now: Ms) -> f64 {
-        let mean = self.mean.map_or(1.0, |(pace, _)| pace);
+        let mean = self.mean.map_or(1.0, |mean| mean.reported);
         let excess = (mean - MILD_FACTOR).max(0.0);
         mean - excess + excess * half_life(now - self.at, MEASURED_HALF_LIFE)
     }
--- a/crates/sched/tests/paced.rs
+++ b/crates/sched/tests/paced.rs
@@ -8,7 +8,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use sched::batch::Event;
-use sched::pace::{Pace, PaceEvent, Slowness, Usual, Watch, credible};
+use sched::pace::{Pace, PaceEvent, Response, Slowness, Usual, Watch, credible};
 use sched::placement::engines::{Prompt, engine};
 use sched::placement::paced::{Paced, plain};
 use sched::placement::{self, Candidate, Distance};
@@ -82,12 +82,31 @@
     assert_eq!(factors, [3.0, 2.0, 1.0, 1.0]);
 }
 
+/// A response that ends at `at` with a report of `percent`, the one before it having been `before`.
+fn response(percent: u32, at: u64, before: Option<Pace>) -> Response {
+    Response { begun: Ms(at), before, pace: Pace::new(percent, Ms(at)), queue: 1.0 }
+}
+
+// Guards against a slow pace that has no effect because the response that reports it took no longer
+// than others: it was served before the target became slow.
+#[test]
+fn a_response_counts_under_the_pace_at_which_it_was_served() {
+    let mut usual = Usual::default();
+    usual.record(Ms(0), &response(100, 0, None));
+    usual.record(Ms(10), &response(900, 10, Some(Pace::new(100, Ms(10)))));
+    assert_eq!(usual.stretch(), 1.0);
+    assert!(usual.pace(Ms(10)) > 2.0, "it is reported none the less");
+    // An outdated report says nothing of when it was served.
+    usual.record(Ms(1_000), &response(900, 1_000, Some(Pace::new(100, Ms(10)))));
+    assert!(usual.stretch() > 2.0);
+}
+
 // Guards against a target that reports pace 1 by mistake and gets all requests.
 #[test]
 fn measured_times_count_against_a_false_pace() {
     let (mut usual, mut slowness) = (Usual::default(), Slowness::default());
     for at in 0..20 {
-        usual.record(Ms(at), Pace::new(1, Ms(at)), 1.0);
+        usual.record(Ms(at), &response(1, at, None));
         slowness.record(Ms(at), Ms(240), Ms(60));
     }
     let mut slow = target("slow", Distance::Domain, 0);
@@ -104,7 +123,7 @@
 fn a_usual_pace_outlasts_the_report_and_a_great_slowness_fades() {
     let after = |percent, time| {
         let (mut usual, pace) = (Usual::default(), Pace::new(percent, Ms(0)));
-        usual.record(Ms(0), pace, 1.0);
+        usual.record(Ms(0), &response(percent, 0, None));
         pace.factor_from(Ms(time), usual.pace(Ms(time)))
     };
     assert_eq!((after(125, 60_000), after(400, 0)), (1.25, 4.0));
