Stages: compose a service that the configuration in force no longer declares

What callers saw: 503, "its stages can't be done in time", beside a change of the configuration, although the targets of the stage were there and idle. Cause: the route, and the stages, are those under which a request was admitted, but the composer looked its batch parameters up in the configuration in force there when it first got work of a service. If that one is older than the request's, or newer and without the service, it had no parameters and returned no results, which counted as a failed stage.

A host whose composer returns no results composes the stage itself, by the declaration under which the request was admitted. No message changes.

Evidence: open_requests_are_served_as_they_were_admitted sends requests of all kinds and has eight changes come into force while they are open. Before: the staged request refused in two of them (services removed, stage services renamed), all others served; after: all served. The reload of the settings had no such fault (open_requests_are_served_while_the_settings_are_reloaded passed before).

--- a/crates/edge/src/composer/mod.rs
+++ b/crates/edge/src/composer/mod.rs
@@ -111,7 +111,15 @@
     }
 
     /// Produces all pieces of a stage. If the future is dropped, the pieces are withdrawn.
-    pub(crate) async fn submit(self: &Arc<Self>, mut work: StageWork) -> StageResults {
+    ///
+    /// `declared` are the batch parameters under which the request of the stage was admitted, for a
+    /// service that the configuration in force doesn't declare; none for the stage of another host.
+    /// Returns no results if the service is not declared at all.
+    pub(crate) async fn submit(
+        self: &Arc<Self>,
+        mut work: StageWork,
+        declared: Option<&Batch>,
+    ) -> StageResults {
         let service = PoolId::from(work.service.as_str());
         let mut results = match self.better_region(&service, &work) {
             Some((region, owner)) => {
@@ -120,19 +128,24 @@
                     Some(results) => results,
                     None => {
                         work.passed_on = false;
-                        self.run_pieces(&service, work).await
+                        self.run_pieces(&service, work, declared).await
                     }
                 }
             }
-            None => self.run_pieces(&service, work).await,
+            None => self.run_pieces(&service, work, declared).await,
         };
         // That of this region, also if the work was passed on.
         results.load = self.load(&service).filter(|load| load.throughput.is_some());
         results
     }
 
-    async fn run_pieces(self: &Arc<Self>, name: &PoolId, work: StageWork) -> StageResults {
-        let Some(service) = self.service(name) else { return StageResults::default() };
+    async fn run_pieces(
+        self: &Arc<Self>,
+        name: &PoolId,
+        work: StageWork,
+        declared: Option<&Batch>,
+    ) -> StageResults {
+        let Some(service) = self.service(name, declared) else { return StageResults::default() };
         let (done, results) = oneshot::channel();
         let count = work.pieces as usize;
         let submission = Arc::new(Mutex::new(Submission {
@@ -175,14 +188,14 @@
         self.core.catalog()?.service(name)?.batch.clone()
     }
 
-    /// The batcher of a service, created and started on first use; none if the service runs no
-    /// stages.
-    fn service(self: &Arc<Self>, name: &PoolId) -> Option<Arc<Service>> {
+    /// The batcher of a service, created and started on first use with the parameters in force, or
+    /// else with the `declared` ones; none if there are neither.
+    fn service(self: &Arc<Self>, name: &PoolId, declared: Option<&Batch>) -> Option<Arc<Service>> {
         let mut services = lock(&self.services);
         if let Some(service) = services.get(name) {
             return Some(service.clone());
         }
-        let batch = self.batch_config(name)?;
+        let batch = self.batch_config(name).or_else(|| declared.cloned())?;
         let batcher = Batcher::new(name.clone(), batch, allowance(&self.core.settings()));
         let state = State {
             batcher,
--- a/crates/edge/src/composer/serve.rs
+++ b/crates/edge/src/composer/serve.rs
@@ -21,7 +21,7 @@
 #[async_trait]
 impl StageServer for StageService {
     async fn submit(&self, work: StageWork) -> StageResults {
-        self.0.submit(work).await
+        self.0.submit(work, None).await
     }
 
     async fn loads(&self) -> StageLoads {
--- a/crates/edge/src/stages.rs
+++ b/crates/edge/src/stages.rs
@@ -248,8 +248,10 @@
             work.release = self.take_releases(i);
             let app = self.app.clone();
             let service = stage.service.clone();
-            self.running
-                .push(Box::pin(async move { (i, submit(&app, &service, &region, work).await) }));
+            let declared = batch(self.call, &service).cloned();
+            self.running.push(Box::pin(async move {
+                (i, submit(&app, &service, &region, work, declared.as_ref()).await)
+            }));
         }
         held_back
     }
--- a/crates/edge/src/submit.rs
+++ b/crates/edge/src/submit.rs
@@ -1,6 +1,8 @@
 //! Submits a stage to the host that composes the calls of its service.
 
 use base::{HostId, Ms, PoolId, RegionId};
+use catalog::Batch;
+use logs::note;
 use std::sync::Arc;
 use wire::{PieceFault, StageResults, StageWork};
 
@@ -43,12 +45,14 @@
 /// next host first, on which they all agree and which goes on filling calls.
 const MAX_COMPOSERS: usize = 2;
 
-/// Submits a stage to the host that composes the calls of its service.
+/// Submits a stage to the host that composes the calls of its service. `declared` are the service's
+/// batch parameters under which the request was admitted.
 pub(crate) async fn submit(
     app: &Arc<App>,
     service: &PoolId,
     region: &RegionId,
     mut work: StageWork,
+    declared: Option<&Batch>,
 ) -> Result<StageOutput, StageFault> {
     let core = &app.core;
     let settings = core.settings().clone();
@@ -57,6 +61,13 @@
         let Some(Owner::Peer { host, addr }) = owner else { break };
         let begun = core.clock.now();
         match remote::submit(core, &host, addr, work.clone()).await {
+            // The configuration in force there doesn't declare the service: it is older than the one
+            // under which the request was admitted, or newer.
+            Ok(results) if results.results.is_empty() => {
+                let request = work.request.as_str();
+                note!(logs::Event::ServiceUndeclared, request, service = %service, host = %host);
+                break;
+            }
             Ok(results) => {
                 loads::record(core, &results.load);
                 return output(service, Owner::Peer { host, addr }, results);
@@ -70,7 +81,7 @@
         }
     }
     // No other composer: calls of this host alone are less full, but no work is lost.
-    let results = app.composer.submit(work).await;
+    let results = app.composer.submit(work, declared).await;
     loads::record(core, &results.load);
     output(service, Owner::Me, results)
 }
