Stages: refuse a request when its time is over, whatever its calls do

What callers saw: neither an answer nor a refusal within the request's time. Cause: only pieces that wait for a call expire; one whose call is under way ends with the call, and a target that never answers is given up after nine times the expected duration. A stage at another host was bounded by the time of the call to that host, one that the request's own host composes by nothing.

--- a/crates/edge/src/stages.rs
+++ b/crates/edge/src/stages.rs
@@ -44,7 +44,10 @@
         run.finished = true;
         return Err(reason);
     }
-    let end = run.finish().await;
+    // A call that its target never answers may last longer than the request.
+    let left = call.left(app.core.clock.now());
+    let end = tokio::time::timeout(left.duration(), run.finish()).await;
+    let end = end.unwrap_or(Err(StageFault::Late(Ms::ZERO)));
     run.finished = true;
     match end {
         Ok(()) => Ok(run.into_results()),
