Stages: leave the inputs of withdrawn work to the host that submitted it

What callers saw: stages that ran twice, and 503 when that took too long. Cause: a host gives a composer up that misses two probes, and asks the next one. The first, if it was only silent, hears that its work is withdrawn, took the inputs for unused and deleted them, while the second composer still needed them. Its call ended with "gone", and the stages before ran again, which is done once for a request.

The host that submitted the work releases the inputs if no composer has returned results. Those of a host that is gone are freed as before, by the holder that the work names.

--- a/crates/edge/src/composer/release.rs
+++ b/crates/edge/src/composer/release.rs
@@ -26,7 +26,9 @@
     /// Handles a notice that results are released, or that they have been read (`spare`) and may be
     /// kept while there is room.
     pub(crate) fn free(self: &Arc<Self>, free: StageFree) {
-        let Some(service) = self.service(&PoolId::from(free.service.as_str()), None) else { return };
+        let Some(service) = self.service(&PoolId::from(free.service.as_str()), None) else {
+            return;
+        };
         let made = free.results.into_iter().filter(|r| !r.handle.is_empty());
         let made = made.map(|r| (r.target.into(), r.handle));
         match free.spare {
@@ -117,7 +119,7 @@
     }
 
     /// Releases results after `wait`.
-    pub(super) fn release(self: &Arc<Self>, wait: Ms, release: Vec<StageRelease>) {
+    pub(crate) fn release(self: &Arc<Self>, wait: Ms, release: Vec<StageRelease>) {
         if release.is_empty() {
             return;
         }
--- a/crates/edge/src/composer/submission.rs
+++ b/crates/edge/src/composer/submission.rs
@@ -57,12 +57,9 @@
         }
         self.composer.feed(&self.service, Event::Withdraw(ids));
         // Results that nobody reads are freed at once: until their time to live ended they would
-        // take up room that others need.
-        let (made, release) = {
-            let mut submission = lock(&self.submission);
-            (std::mem::take(&mut submission.results), std::mem::take(&mut submission.release))
-        };
-        self.composer.release(Ms::ZERO, release);
+        // take up room that others need. The inputs are left to the host that submitted the work: it
+        // may have given this one up, and another composer may be about to read them.
+        let made = std::mem::take(&mut lock(&self.submission).results);
         let made = made.into_iter().filter(|r| !r.handle.is_empty());
         let unread = made.map(|r| (r.target.into(), r.handle)).collect();
         self.composer.free_results(&self.service, unread);
--- a/crates/edge/src/submit.rs
+++ b/crates/edge/src/submit.rs
@@ -4,7 +4,7 @@
 use catalog::Batch;
 use logs::note;
 use std::sync::Arc;
-use wire::{PieceFault, StageResults, StageWork};
+use wire::{PieceFault, StageRelease, StageResults, StageWork};
 
 use crate::host::App;
 use crate::loads;
@@ -56,6 +56,7 @@
 ) -> Result<StageOutput, StageFault> {
     let core = &app.core;
     let settings = core.settings().clone();
+    let inputs = Inputs { app, release: work.release.clone() };
     for _ in 0..MAX_COMPOSERS {
         let owner = core.members.owner(&settings, service, region);
         let Some(Owner::Peer { host, addr }) = owner else { break };
@@ -69,6 +70,7 @@
                 break;
             }
             Ok(results) => {
+                inputs.close();
                 loads::record(core, &results.load);
                 return output(service, Owner::Peer { host, addr }, results);
             }
@@ -82,10 +84,33 @@
     }
     // No other composer: calls of this host alone are less full, but no work is lost.
     let results = app.composer.submit(work, declared).await;
+    if !results.results.is_empty() {
+        inputs.close();
+    }
     loads::record(core, &results.load);
     output(service, Owner::Me, results)
 }
 
+/// The results that a stage reads and no other. Unless a composer has returned the stage's results, and
+/// so has released them, they are released when this is dropped: nobody reads them any more.
+struct Inputs<'a> {
+    app: &'a App,
+    release: Vec<StageRelease>,
+}
+
+impl Inputs<'_> {
+    /// Leaves them to the composer that has released them.
+    fn close(mut self) {
+        self.release.clear();
+    }
+}
+
+impl Drop for Inputs<'_> {
+    fn drop(&mut self) {
+        self.app.composer.release(Ms::ZERO, std::mem::take(&mut self.release));
+    }
+}
+
 fn output(
     service: &PoolId,
     owner: Owner,
