Stages: a composer that falls silent keeps its work until there are results

What callers saw: a stage made a second time, and late or refused, because its composer was silent for a second. Cause: two missed probes (1.0 to 1.3 s) took the work from it before another composer had any result; what it had made by then was thrown away.

The next composer is asked as before, and the first keeps the work; the results that come first count, and the other is withdrawn. Pieces may be made twice, as before. Line 343 tells when a silent composer's results are used.

Evidence: the_results_of_a_composer_that_was_silent_count, 1.2 and 1.7 s of silence, with a target that answers no second call.

--- a/crates/edge/src/remote.rs
+++ b/crates/edge/src/remote.rs
@@ -29,24 +29,41 @@
     host: &HostId,
     addr: SocketAddr,
     work: StageWork,
+) -> Result<StageResults, RemoteFault> {
+    let request = work.request.clone();
+    tokio::select! {
+        results = ask(core, host, addr, work) => results,
+        () = core.liveness.lost(core, addr) => {
+            suspect(core, &request, host, &PeerError::Silent);
+            Err(RemoteFault::Lost)
+        }
+    }
+}
+
+/// Submits a stage to another host and waits for the results, however long that host is silent, until
+/// the pieces have expired.
+pub(crate) async fn ask(
+    core: &Arc<Core>,
+    host: &HostId,
+    addr: SocketAddr,
+    work: StageWork,
 ) -> Result<StageResults, RemoteFault> {
     let within = Ms(work.expires_ms);
     let end = core.clock.now() + within;
-    let peers = core.members.peers();
     let request = work.request.clone();
-    let submit = peers.submit(addr, work, within + ANSWER_WAIT);
-    let result = tokio::select! {
-        results = submit => results,
-        () = core.liveness.lost(core, addr) => Err(PeerError::Silent),
-    };
-    match result {
+    match core.members.peers().submit(addr, work, within + ANSWER_WAIT).await {
         Ok(results) => Ok(results),
         // The time simply ran out: the host is not suspected.
         Err(PeerError::Silent) if core.clock.now() >= end => Err(RemoteFault::Late),
         Err(err) => {
-            note!(logs::Event::PeerFailed, request, host = %host, call = "submit", why = %err);
-            core.members.suspect(host);
+            suspect(core, &request, host, &err);
             Err(RemoteFault::Lost)
         }
     }
 }
+
+/// Records that a host did not answer the work of a request.
+pub(crate) fn suspect(core: &Core, request: &str, host: &HostId, why: &PeerError) {
+    note!(logs::Event::PeerFailed, request, host = %host, call = "submit", %why);
+    core.members.suspect(host);
+}
--- a/crates/edge/src/submit.rs
+++ b/crates/edge/src/submit.rs
@@ -2,7 +2,11 @@
 
 use base::{HostId, Ms, PoolId, RegionId};
 use catalog::Batch;
+use futures::future::BoxFuture;
+use futures::stream::FuturesUnordered;
+use futures::{FutureExt, StreamExt};
 use logs::note;
+use peer::PeerError;
 use std::sync::Arc;
 use wire::{PieceFault, StageRelease, StageResults, StageWork};
 
@@ -51,44 +55,117 @@
     app: &Arc<App>,
     service: &PoolId,
     region: &RegionId,
-    mut work: StageWork,
+    work: StageWork,
     declared: Option<&Batch>,
 ) -> Result<StageOutput, StageFault> {
     let core = &app.core;
-    let settings = core.settings().clone();
     let inputs = Inputs { app, release: work.release.clone() };
-    for _ in 0..MAX_COMPOSERS {
-        let owner = core.members.owner(&settings, service, region);
-        let Some(Owner::Peer { host, addr }) = owner else { break };
-        let begun = core.clock.now();
-        match remote::submit(core, &host, addr, work.clone()).await {
-            // The configuration in force there doesn't declare the service: it is older than the one
-            // under which the request was admitted, or newer.
-            Ok(results) if results.results.is_empty() => {
-                let request = work.request.as_str();
-                note!(logs::Event::ServiceUndeclared, request, service = %service, host = %host);
-                break;
+    let mut asked = Asked::new(app, service, work);
+    let ended = match asked.others(region).await {
+        Some(ended) => ended,
+        // No other composer: calls of this host alone are less full, but no work is lost.
+        None => asked.own(declared).await,
+    };
+    let (owner, results) = ended?;
+    if !results.results.is_empty() {
+        inputs.close();
+    }
+    loads::record(core, &results.load);
+    output(service, owner, results)
+}
+
+/// The results of a stage, with the composer that they come from.
+type Ended = Result<(Owner, StageResults), StageFault>;
+
+/// A stage and the composers that have been asked for it.
+///
+/// One that falls silent may be sound, and back within a second or two. So the next one is asked
+/// without taking the work from it, and the results that come first count.
+struct Asked<'a> {
+    app: &'a Arc<App>,
+    service: &'a PoolId,
+    work: StageWork,
+    begun: Ms,
+    open: FuturesUnordered<BoxFuture<'static, (Owner, Result<StageResults, RemoteFault>)>>,
+    /// Whether a composer's configuration doesn't declare the service.
+    undeclared: bool,
+}
+
+impl<'a> Asked<'a> {
+    fn new(app: &'a Arc<App>, service: &'a PoolId, work: StageWork) -> Self {
+        let begun = app.core.clock.now();
+        Self { app, service, work, begun, open: FuturesUnordered::new(), undeclared: false }
+    }
+
+    /// Has other hosts compose the stage; none if this host has to.
+    async fn others(&mut self, region: &RegionId) -> Option<Ended> {
+        let core = self.app.core.clone();
+        let settings = core.settings().clone();
+        for _ in 0..MAX_COMPOSERS {
+            let owner = core.members.owner(&settings, self.service, region)?;
+            let Owner::Peer { host, addr } = owner.clone() else { return None };
+            let (from, work) = (core.clone(), self.remaining());
+            let (name, peer) = (host.clone(), owner.clone());
+            let ask = async move { (peer, remote::ask(&from, &name, addr, work).await) };
+            self.open.push(ask.boxed());
+            let ended = tokio::select! {
+                ended = self.first(&owner) => ended,
+                () = core.liveness.lost(&core, addr) => {
+                    remote::suspect(&core, &self.work.request, &host, &PeerError::Silent);
+                    None
+                }
+            };
+            if ended.is_some() || self.undeclared {
+                return ended;
             }
-            Ok(results) => {
-                inputs.close();
-                loads::record(core, &results.load);
-                return output(service, Owner::Peer { host, addr }, results);
+        }
+        None
+    }
+
+    /// Composes the stage here.
+    async fn own(&mut self, declared: Option<&Batch>) -> Ended {
+        let (composer, work) = (self.app.composer.clone(), self.remaining());
+        let declared = declared.cloned();
+        let own = async move { (Owner::Me, Ok(composer.submit(work, declared.as_ref()).await)) };
+        self.open.push(own.boxed());
+        self.first(&Owner::Me).await.unwrap_or(Err(StageFault::Failed))
+    }
+
+    /// The first results of any composer; none once the one that was asked last has none.
+    async fn first(&mut self, last: &Owner) -> Option<Ended> {
+        while let Some((owner, end)) = self.open.next().await {
+            let request = self.work.request.as_str();
+            match (end, &owner) {
+                // The configuration in force there is older than the one under which the request was
+                // admitted, or newer.
+                (Ok(results), Owner::Peer { host, .. }) if results.results.is_empty() => {
+                    let service = self.service;
+                    note!(logs::Event::ServiceUndeclared, request, service = %service, host = %host);
+                    self.undeclared = true;
+                }
+                (Ok(results), _) => {
+                    if owner != *last {
+                        note!(logs::Event::ComposerBack, request, service = %self.service);
+                    }
+                    return Some(Ok((owner, results)));
+                }
+                (Err(RemoteFault::Late), _) => return Some(Err(StageFault::Late(Ms::ZERO))),
+                (Err(RemoteFault::Lost), _) => {}
             }
-            Err(RemoteFault::Late) => return Err(StageFault::Late(Ms::ZERO)),
-            Err(RemoteFault::Lost) => {
-                let spent = core.clock.now() - begun;
-                work.due_ms = (Ms(work.due_ms) - spent).0;
-                work.expires_ms = (Ms(work.expires_ms) - spent).0;
+            if owner == *last {
+                return None;
             }
         }
+        None
     }
-    // No other composer: calls of this host alone are less full, but no work is lost.
-    let results = app.composer.submit(work, declared).await;
-    if !results.results.is_empty() {
-        inputs.close();
+
+    /// The stage as it is submitted now.
+    fn remaining(&self) -> StageWork {
+        let spent = self.app.core.clock.now() - self.begun;
+        let left = |ms: u64| (Ms(ms) - spent).0;
+        let work = self.work.clone();
+        StageWork { due_ms: left(work.due_ms), expires_ms: left(work.expires_ms), ..work }
     }
-    loads::record(core, &results.load);
-    output(service, Owner::Me, results)
 }
 
 /// The results that a stage reads and no other. Unless a composer has returned the stage's results, and
--- a/crates/logs/src/event.rs
+++ b/crates/logs/src/event.rs
@@ -113,6 +113,7 @@
     TargetSlowed = 340, Info, "A target reports that it is slow, by the smoothed pace in its answers (percent, 100 is normal); it gets less work.";
     TargetRecovered = 341, Info, "A target that was slow reports its normal pace again.";
     ServiceUndeclared = 342, Info, "A stage service is not declared by the configuration in force at the host that composes its calls; the host of the request composes the stage itself.";
+    ComposerBack = 343, Info, "A composer of stages that had fallen silent answered before the one that was asked after it; its results are used.";
     JournalUnavailable = 400, Warn, "A key could not be recorded; its request was refused.";
     FinishRetried = 401, Warn, "The outcome of a keyed request could not be recorded yet; the write is retried.";
     FinishLost = 402, Error, "The outcome of a keyed request could not be recorded; re-sends are answered as unknown.";
