A stopping host finishes the stages that it composes for other hosts

What callers of other hosts saw: a stage that broke off and ran again, and a late answer. Cause: a host that is told to stop ends once its own callers are served, 2.6 s after the signal at the earliest, and closed its connections to other hosts whatever was open on them.

It waits for the stages of other hosts too, within its grace period; line 344 tells how many are left.

--- a/crates/edge/src/composer/mod.rs
+++ b/crates/edge/src/composer/mod.rs
@@ -5,6 +5,7 @@
 //! each service that this host composes, sends the calls it asks for and returns the results.
 
 mod call;
+mod guests;
 mod holders;
 mod load;
 mod offload;
@@ -25,7 +26,7 @@
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use tokio::sync::{Notify, oneshot};
+use tokio::sync::{Notify, oneshot, watch};
 use wire::{PieceFault, PieceResult, StageResults, StageWork};
 
 use self::release::READ_TIME;
@@ -74,6 +75,8 @@
     region_loads: Mutex<HashMap<(PoolId, RegionId), (Ms, Ms)>>,
     /// When another host was last seen to compose a service in this region.
     other_owners: Mutex<HashMap<PoolId, Ms>>,
+    /// Number of open stages of other hosts.
+    guests: watch::Sender<usize>,
 }
 
 fn log_given_up(service: &PoolId, given_up: &GivenUp) {
@@ -102,6 +105,7 @@
             next_piece: AtomicU64::new(1),
             region_loads: Mutex::default(),
             other_owners: Mutex::default(),
+            guests: watch::Sender::new(0),
         }
     }
 
--- a/crates/edge/src/composer/serve.rs
+++ b/crates/edge/src/composer/serve.rs
@@ -21,6 +21,7 @@
 #[async_trait]
 impl StageServer for StageService {
     async fn submit(&self, work: StageWork) -> StageResults {
+        let _open = self.0.open_guest();
         self.0.submit(work, None).await
     }
 
--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -201,7 +201,7 @@
 
     /// Stops without truncating a response. First the host reports that it isn't ready, so that no
     /// new callers are sent to it. Then it accepts no new requests. Then it finishes the open
-    /// requests, within the platform's grace period.
+    /// requests, and the stages that it composes for other hosts, within the platform's grace period.
     pub async fn close(self) -> Stopped {
         let core = &self.app.core;
         let started = core.clock.now();
@@ -221,6 +221,12 @@
         let remaining = end - core.clock.now();
         let finished = tokio::time::timeout(remaining.duration(), self.callers.task).await.is_ok();
         refuse_unsent.abort();
+        // Otherwise they would break off, and their hosts would have them run again.
+        let guests = self.app.composer.guests_done();
+        let remaining = end - core.clock.now();
+        if tokio::time::timeout(remaining.duration(), guests).await.is_err() {
+            note!(logs::Event::StagesCut, open = self.app.composer.guests());
+        }
         let cut = if finished { 0 } else { core.open().load(Ordering::Relaxed) };
         if !finished {
             note!(logs::Event::DrainOverrun, open = cut);
--- a/crates/logs/src/event.rs
+++ b/crates/logs/src/event.rs
@@ -114,6 +114,7 @@
     TargetRecovered = 341, Info, "A target that was slow reports its normal pace again.";
     ServiceUndeclared = 342, Info, "A stage service is not declared by the configuration in force at the host that composes its calls; the host of the request composes the stage itself.";
     ComposerBack = 343, Info, "A composer of stages that had fallen silent answered before the one that was asked after it; its results are used.";
+    StagesCut = 344, Warn, "The grace period of a stopping host ended while it composed stages of other hosts, which have them run again.";
     JournalUnavailable = 400, Warn, "A key could not be recorded; its request was refused.";
     FinishRetried = 401, Warn, "The outcome of a keyed request could not be recorded yet; the write is retried.";
     FinishLost = 402, Error, "The outcome of a keyed request could not be recorded; re-sends are answered as unknown.";
