Stages: don't give a call up within a second or two of silence

What callers saw: 503 for a request with time left, because the targets of a stage with short calls were silent for a second. Cause: a call was given up after nine times its expected duration, 0.4 s for one of 40 ms; three in a row used up the attempts of its pieces. Longer calls were not affected.

A call is given up after 2.5 s at the earliest. Its pieces are queued again once it is overdue, as before, so another target makes them meanwhile.

--- a/crates/sched/src/batch/target.rs
+++ b/crates/sched/src/batch/target.rs
@@ -20,6 +20,9 @@
 /// A call is given up after this multiple of its expected duration, so that a target that is eight
 /// times slower can still end it.
 const TIMEOUT_FACTOR: (u64, u64) = (9, 1);
+/// A call is not given up sooner than this: a sound target may be silent for a second or two. Its
+/// pieces are queued again once the call is overdue.
+const MIN_TIMEOUT: Ms = Ms(2_500);
 /// How long before the expected end of a call the next one is sent, so that the target is never
 /// idle: the round trip within a region, and the time to read the call.
 const LEAD: Ms = Ms(8);
@@ -153,7 +156,7 @@
         self.last_call = now;
         self.open.push(OpenCall { call, since: now, expected, time, bytes, requeued: false });
         let ahead = self.free_at(now) - now;
-        ahead + time.scale(TIMEOUT_FACTOR.0, TIMEOUT_FACTOR.1)
+        ahead + time.scale(TIMEOUT_FACTOR.0, TIMEOUT_FACTOR.1).max(MIN_TIMEOUT)
     }
 
     pub(super) fn ended(&mut self, now: Ms, call: CallId, end: &CallEnd) {
