--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -15,17 +15,20 @@
 //! ```
 
 mod accept;
+mod activity;
 mod backoff;
 mod body;
 mod builds;
 mod choose;
 mod composer;
+mod connection_end;
 mod connections;
 mod core;
 mod diagnose;
 mod dial;
 mod dialect;
 mod directory;
+mod discard;
 mod evacuate;
 mod events;
 mod follow;
--- a/crates/edge/src/request.rs
+++ b/crates/edge/src/request.rs
@@ -12,12 +12,13 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
+use crate::activity::{Activity, Phase};
 use crate::body::ResponseBody;
 use crate::core::Core;
 use crate::dialect::RequestHead;
 use crate::host::App;
 use crate::refusal::{Reason, refuse};
-use crate::{plain, stream};
+use crate::{discard, plain, stream};
 
 /// Deadline of a request that names none, where the time-out of its route isn't shorter.
 pub(crate) const DEFAULT_DEADLINE: Ms = Ms::secs(60);
@@ -65,21 +66,50 @@
 }
 
 /// Serves a request.
-pub(crate) async fn handle(app: Arc<App>, request: Request<Incoming>) -> Response<ResponseBody> {
+pub(crate) async fn handle(
+    app: Arc<App>,
+    activity: &Arc<Activity>,
+    request: Request<Incoming>,
+) -> Response<ResponseBody> {
     let core = app.core.clone();
     let arrived = core.clock.now();
     core.open().fetch_add(1, Ordering::Relaxed);
     let _open = OpenGuard(app.clone());
-    let (parts, body) = request.into_parts();
+    let (parts, mut body) = request.into_parts();
+    let awaits_permission = parts.headers.contains_key(header::EXPECT);
+    let mut response = respond(&app, activity, arrived, parts, &mut body).await;
+    discard::finish(activity, body, awaits_permission, core.limits().body_bytes, &mut response);
+    if core.stopping() {
+        // Makes the caller send its next request to a host that isn't stopping.
+        let close = header::HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+    }
+    response
+}
+
+/// The response to a request. The body may not have been read to its end.
+async fn respond(
+    app: &Arc<App>,
+    activity: &Activity,
+    arrived: Ms,
+    parts: Parts,
+    body: &mut Incoming,
+) -> Response<ResponseBody> {
+    let core = &app.core;
     let head = match core.dialect.parse_request(&parts) {
         Ok(head) => head,
-        Err(err) => return refuse(&core, "", Reason::Unreadable(err), Ms::ZERO),
+        Err(err) => return refuse(core, "", Reason::Unreadable(err), Ms::ZERO),
     };
     let id = head.id.clone();
+    activity.request_named(&id);
     let waiting = Waiting { core: core.clone(), request: id.clone(), arrived, answered: false };
-    let mut response = match admit(&app, arrived, head, parts, body).await {
+    let admitted = admit(app, arrived, head, parts, body).await;
+    if admitted.is_ok() {
+        activity.request_reached(Phase::Waiting);
+    }
+    let response = match admitted {
         Ok(call) if call.route.retry_safety.is_stream() => stream::run(app.clone(), call).await,
-        Ok(call) => plain::run(&core, &call).await,
+        Ok(call) => plain::run(core, &call).await,
         Err((reason, left)) => {
             note!(
                 logs::Event::RequestRefused,
@@ -90,15 +120,10 @@
                 left_ms = left.0
             );
             core.metrics.refused(reason.name());
-            refuse(&core, &id, reason, left)
+            refuse(core, &id, reason, left)
         }
     };
     waiting.answered();
-    if core.stopping() {
-        // Makes the caller send its next request to a host that isn't stopping.
-        let close = header::HeaderValue::from_static("close");
-        response.headers_mut().insert(header::CONNECTION, close);
-    }
     response
 }
 
@@ -129,7 +154,8 @@
 
 impl Drop for Waiting {
     fn drop(&mut self) {
-        if self.answered {
+        // A panic has a line of its own.
+        if self.answered || std::thread::panicking() {
             return;
         }
         let took = self.core.clock.now() - self.arrived;
@@ -142,7 +168,7 @@
     arrived: Ms,
     head: RequestHead,
     parts: Parts,
-    body: Incoming,
+    body: &mut Incoming,
 ) -> Result<Call, (Reason, Ms)> {
     let core = &app.core;
     let requested = head.deadline.unwrap_or(DEFAULT_DEADLINE);
@@ -206,7 +232,7 @@
     })
 }
 
-async fn read_body(body: Incoming, limit: usize, timeout: Ms) -> Result<Bytes, Reason> {
+async fn read_body(body: &mut Incoming, limit: usize, timeout: Ms) -> Result<Bytes, Reason> {
     let collected = Limited::new(body, limit).collect();
     match tokio::time::timeout(timeout.duration(), collected).await {
         Ok(Ok(body)) => Ok(body.to_bytes()),
