Connections: the burst of 85 hosts has its meant load again, and fails

The play had been fitted to what was measured: two requests a host and 8 s, which dilutes the resets of the first burst. It has four requests a host and 6 s again, with the bound of resets as it is (under 2 in 100 sends). The bound of requests served is the same part of those that arrive, nine tenths: 2,900 of about 3,220 instead of 3,600 of about 4,010.

Traced: one reset at 84 of the 85 hosts, 36 in the first 100 ms and all in 1.7 s; 52 before the host had any answer, 38 after it had one. A host learns only from its own answers and resets that queues are long, and until then opens a connection for each request that finds none free.

--- a/crates/sched/tests/connections.rs
+++ b/crates/sched/tests/connections.rs
@@ -222,16 +222,16 @@
 fn a_burst_of_all_hosts_loses_no_request() {
     for seed in 0..4 {
         let mut play = Play::new(85, seed);
-        play.run(8_000, |now, rng| match now {
-            // Two requests at each host at once, then eight tenths of what the targets can serve.
-            0 => (0..170).map(|n| n % 85).collect(),
+        play.run(6_000, |now, rng| match now {
+            // Four requests at each host at once, then eight tenths of what the targets can serve.
+            0 => (0..340).map(|n| n % 85).collect(),
             _ if rng.random_range(0..100) < 48 => vec![rng.random_range(0..85)],
             _ => Vec::new(),
         });
         let counts = &play.counts;
         assert_eq!(counts.lost, 0, "seed {seed}: {counts:?}");
         assert!(50 * counts.resets < counts.sends, "seed {seed}: {counts:?}");
-        assert!(counts.served > 3_600, "seed {seed}: {counts:?}");
+        assert!(counts.served > 2_900, "seed {seed}: {counts:?}");
     }
 }
 
