--- a/crates/edge/src/connections/permit.rs
+++ b/crates/edge/src/connections/permit.rs
@@ -103,7 +103,7 @@
         // In a burst the targets of a service are alike: what one has reset, the next one will.
         let resets = self.queue.hold().is_active(now);
         let state = self.link.connections.state();
-        resets || state.quota.needs_proof(state.in_use, self.link.reported_queue(now))
+        resets || state.quota.needs_proof(state.in_use)
     }
 }
 
--- a/crates/edge/src/links.rs
+++ b/crates/edge/src/links.rs
@@ -223,13 +223,8 @@
         self.limit.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Number of requests that it has waiting, as it last reported; 0 if that is too long ago.
+    /// Number of requests that it has waiting, as it last reported; none if that is too long ago.
     pub(crate) fn queued(&self, now: Ms) -> u32 {
-        self.reported_queue(now).unwrap_or(0)
-    }
-
-    /// The same; none if that is too long ago.
-    pub(crate) fn reported_queue(&self, now: Ms) -> Option<u32> {
         self.reports.queued(now)
     }
 
--- a/crates/edge/src/reports.rs
+++ b/crates/edge/src/reports.rs
@@ -76,8 +76,8 @@
     }
 
     /// Number of requests that it has waiting, as it last reported; none if that is too long ago.
-    pub(crate) fn queued(&self, now: Ms) -> Option<u32> {
-        self.fresh(now).map(|load| load.waiting)
+    pub(crate) fn queued(&self, now: Ms) -> u32 {
+        self.fresh(now).map_or(0, |load| load.waiting)
     }
 
     /// Records under which pace and queue the response time `took` was measured. The target has
--- a/crates/sched/src/connections.rs
+++ b/crates/sched/src/connections.rs
@@ -138,12 +138,10 @@
     }
 
     /// Whether a new connection must prove that the target accepts it before it carries a request
-    /// that is unsafe to retry. `open` includes the new one, `queued` is the number of requests that
-    /// wait at the target, if it has told lately. Unless it told that none waits, it may have begun
-    /// to reset connections, and the first reset must not cost a request.
-    pub fn needs_proof(&self, open: u32, queued: Option<u32>) -> bool {
+    /// that is unsafe to retry. `open` includes the new one.
+    pub fn needs_proof(&self, open: u32) -> bool {
         let (part, whole) = UNPROVED_PART;
-        self.is_short() || queued != Some(0) || open * whole > self.size() * part
+        self.is_short() || open * whole > self.size() * part
     }
 
     /// Records that a request waits while `open` connections are in use. `queued` is the number of
