A dropped trial request no longer keeps its target out

After an ejection a target gets one trial request. If its caller left, or it was dropped for another reason, no outcome was recorded, so that the trial counted as running for good, and the target got no request unless no other was usable. Found by reading. Now the end of a request ends the trial, whatever became of it.

--- a/crates/edge/src/links.rs
+++ b/crates/edge/src/links.rs
@@ -65,6 +65,8 @@
 impl Drop for OpenRequest {
     fn drop(&mut self) {
         self.0.open.fetch_sub(1, Ordering::Relaxed);
+        // A request that was dropped has no outcome, and must not block the next trial.
+        self.0.health().end();
     }
 }
 
--- a/crates/sched/src/health.rs
+++ b/crates/sched/src/health.rs
@@ -83,6 +83,11 @@
         }
     }
 
+    /// Records that a request is over, whether its outcome was recorded or not.
+    pub fn end(&mut self) {
+        self.trial_running = false;
+    }
+
     /// Ends an ejection: the failures were due to this host's own links.
     pub fn reinstate(&mut self) {
         self.recover();
--- a/crates/sched/tests/small.rs
+++ b/crates/sched/tests/small.rs
@@ -74,6 +74,17 @@
     assert!(!health.usable(Ms(2)));
 }
 
+// Guards against a target that gets no request any more, because its trial request was dropped.
+#[test]
+fn a_dropped_trial_is_followed_by_another() {
+    let mut health = Health::default();
+    health.record(Ms(0), Outcome::NoConnection);
+    health.begin();
+    assert!(!health.usable(Ms(600)));
+    health.end();
+    assert!(health.usable(Ms(600)));
+}
+
 fn batch() -> Batch {
     let (call_ms, item_ms) = (240.0, 10.0);
     Batch { slots: 1, size: 8, call_ms, item_ms, room: 1_000, result_ttl: Ms(4_000) }
