Plain requests: a silent target keeps its request while another is tried

Callers got a 502, or the failure of a second target, although the target that had their request was silent for a moment only and about to answer.

Cause: after 3/2 of the latency goal the first target's connection was closed, and only then another one was looked for. If none could get the request (no target left, the retry budget used up, connections short, a refusal), nothing was left to answer it. Silence also counted against the health of sound targets, and two silent ones had all idle connections dropped.

Now the first attempt stays open until another target has answered; the first valid response counts, and the other connection is closed then. A retry is charged once a target is found. The second send uses a new connection if the first target is silent, since idle ones may be lost too.

What a second run costs in an overloaded service: a slot and a connection that the first run of another request needs. So the retry budget bounds the share, and where the first target has answered others meanwhile (it is slow, not silent), the second run needs a target with a free slot and a connection for which nobody waits.

Health: a silent target is avoided while others answer, one request at a time excepted, and ejected once it was silent for 2 s. Idle connections are dropped only if the target answers a health check on a new one, or after 2 s.

Events 345 and 346 tell of both.

--- a/crates/edge/src/choose.rs
+++ b/crates/edge/src/choose.rs
@@ -66,6 +66,9 @@
             Err(blocked) => reason = blocked,
         }
     }
+    if matches!(selection, Selection::Plain { .. }) {
+        avoid_silent(now, &mut open);
+    }
     if matches!(selection, Selection::Plain { .. }) && connections::declared(call).is_some() {
         connections::prefer_free(core, call, tried, &mut open);
     }
@@ -81,6 +84,18 @@
     chosen.map(|i| open[i].clone()).ok_or(reason)
 }
 
+/// Leaves out the silent targets, if there are others that may get a request. If all are silent, each
+/// is as good as before.
+fn avoid_silent(now: Ms, targets: &mut Vec<&Arc<Link>>) {
+    let answers = |l: &&Arc<Link>| {
+        let health = l.health();
+        health.usable(now) && !health.avoided(now)
+    };
+    if targets.iter().any(answers) {
+        targets.retain(answers);
+    }
+}
+
 /// Whether a target's software version fits the request. What two versions write can't be joined, so
 /// a stream that has begun goes on at its version only. One that callers may take up begins only at
 /// a version that the store lists, see [`catalog::Builds`].
--- a/crates/edge/src/connections.rs
+++ b/crates/edge/src/connections.rs
@@ -5,9 +5,11 @@
 
 mod permit;
 mod queue;
+mod spare;
 
-pub(crate) use self::permit::Permit;
+pub(crate) use self::permit::{Permit, answers_anew};
 pub(crate) use self::queue::{Queues, ServiceQueue};
+pub(crate) use self::spare::acquire_spare;
 
 use base::Ms;
 use link::{Conn, Pool};
@@ -46,7 +48,7 @@
 }
 
 /// A target for a request, with the permit for a connection to it if one is needed.
-type Found = (Arc<Link>, Option<Permit>);
+pub(crate) type Found = (Arc<Link>, Option<Permit>);
 
 impl Connections {
     fn state(&self) -> MutexGuard<'_, State> {
@@ -120,12 +122,22 @@
     queue: &Arc<ServiceQueue>,
 ) -> Result<Option<Found>, BlockReason> {
     let link = choose(core, call, selection(call), tried)?;
+    Ok(take_at(core, call, tried, queue, link))
+}
+
+/// Takes a connection to this target.
+fn take_at(
+    core: &Arc<Core>,
+    call: &Call,
+    tried: &[Arc<Link>],
+    queue: &Arc<ServiceQueue>,
+    link: Arc<Link>,
+) -> Option<Found> {
     let may_open = Free::new(core, call, tried).may_open(&link);
-    let now = core.clock.now();
-    let Some(taken) = link.connections.take(now, &link.pool, may_open) else { return Ok(None) };
+    let taken = link.connections.take(core.clock.now(), &link.pool, may_open)?;
     let risky = !call.route.retry_safety.is_idempotent();
     let permit = Permit::new(core, &link, queue, taken, risky);
-    Ok(Some((link, Some(permit))))
+    Some((link, Some(permit)))
 }
 
 async fn wait(
--- a/crates/edge/src/connections/permit.rs
+++ b/crates/edge/src/connections/permit.rs
@@ -54,6 +54,13 @@
         }
     }
 
+    /// Uses a new connection in place of an idle one, unless targets of the service reset new ones.
+    pub(crate) fn renew(&mut self) {
+        if !self.queue.hold().is_active(self.core.clock.now()) {
+            self.taken = Taken::New;
+        }
+    }
+
     /// The idle connection that was taken, or a new one.
     pub(crate) async fn connect(&mut self, residency: &Residency) -> Result<Dialed, SendFault> {
         match std::mem::replace(&mut self.taken, Taken::New) {
@@ -144,6 +151,14 @@
     }
 }
 
+/// Whether the target answers a health check on a new connection, which is closed then.
+pub(crate) async fn answers_anew(core: &Arc<Core>, link: &Arc<Link>) -> bool {
+    match dial(core, link, &Residency::Anywhere).await {
+        Ok(mut dialed) => check(core, link, &mut dialed.conn).await.is_ok(),
+        Err(_) => false,
+    }
+}
+
 async fn check(core: &Core, link: &Link, conn: &mut Conn) -> Result<(), LinkError> {
     let catalog = core.catalog();
     let service = catalog.as_ref().and_then(|c| c.service(&link.entry.service));
--- a/crates/edge/src/plain.rs
+++ b/crates/edge/src/plain.rs
@@ -1,114 +1,245 @@
 //! Runs requests with a plain response, which is read completely before it is passed on, and
 //! retries them at other targets.
+//!
+//! A target may be silent for a moment and go on. So one that does not answer in time keeps the
+//! request while another one is tried, and the first valid response counts.
+
+mod attempt;
+mod second;
 
 use base::Ms;
-use bytes::Bytes;
-use hyper::http::response::Parts;
+use futures::StreamExt;
+use futures::future::BoxFuture;
+use futures::stream::FuturesUnordered;
 use hyper::{HeaderMap, Response};
 use logs::note;
-use sched::health::Outcome;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use crate::body::{ResponseBody, full_body, is_framed};
-use crate::connections::{Permit, acquire};
+use self::attempt::{Attempt, attempt};
+use self::second::Second;
+use crate::body::ResponseBody;
+use crate::connections::{Found, Permit, acquire};
 use crate::core::Core;
 use crate::dialect::ForwardFields;
 use crate::links::Link;
 use crate::refusal::{Reason, give_up};
 use crate::request::Call;
-use crate::send::{Answered, IfClosed, SendFault, Via, Wait, send};
+use crate::send::{IfClosed, Via};
 
-/// Largest response in bytes. A response is buffered completely, so that one that ends early is
-/// never passed on in part.
-const MAX_RESPONSE_BYTES: usize = 16 << 20;
-/// Time-out of an attempt after which an idempotent request is sent to another target, as a
-/// fraction (numerator and denominator) of the route's latency goal. After that time the response
-/// is late anyway, and the second target has the rest of the time.
-const ATTEMPT_TIMEOUT: (u64, u64) = (3, 2);
 /// Largest number of targets that are tried for one request, including those that did not run it.
 const MAX_TARGETS: usize = 4;
 
-/// The outcome of one attempt.
-enum Attempt {
-    /// A response to pass on to the caller.
-    Answered(Response<ResponseBody>),
-    /// The target reports that it failed; another one may succeed.
-    Failed(Response<ResponseBody>),
-    /// The request was not sent: by then the target could no longer get it.
-    Blocked,
-    /// The request was not sent: its new connection has not proved itself.
-    Unproved,
-    /// The request did not run.
-    NotRun,
-    /// The request may have run.
-    Lost,
+/// An attempt that has not ended.
+struct Pending {
+    link: Arc<Link>,
+    sent: Ms,
+    /// For how long this host had not run until then.
+    lost: Ms,
+}
+
+/// A target, and how its attempt ended.
+type Ended = (Arc<Link>, Attempt);
+
+/// The attempts that have not ended.
+type Open<'a> = FuturesUnordered<BoxFuture<'a, Ended>>;
+
+/// What a request waits for while an attempt is open.
+enum Step {
+    Ended(Ended),
+    Found(Second),
+}
+
+/// A request at its targets.
+struct Run<'a> {
+    core: &'a Arc<Core>,
+    call: &'a Call,
+    idempotent: bool,
+    tried: Vec<Arc<Link>>,
+    pending: Vec<Pending>,
+    /// Number of sends, those that are pending included.
+    sends: u32,
+    /// Sends after which a retry was taken from the budget. A pass without a send takes no other one.
+    charged: u32,
+    /// Number of attempts that have ended and that the target may have run.
+    runs: u32,
+    /// A target's own failure response.
+    failed: Option<(Response<ResponseBody>, Arc<Link>)>,
 }
 
 /// Runs a request and returns the response to the caller.
 pub(crate) async fn run(core: &Arc<Core>, call: &Call) -> Response<ResponseBody> {
-    let idempotent = call.route.retry_safety.is_idempotent();
-    let mut tried: Vec<Arc<Link>> = Vec::new();
-    let (mut sends, mut runs, mut failed) = (0, 0, None);
-    // Sends after which a retry was taken from the budget. A pass without a send takes no other one.
-    let mut charged = 0;
-    let reason = loop {
-        let left = call.left(core.clock.now());
-        if left == Ms::ZERO {
-            break if runs > 0 { Reason::Timeout } else { Reason::NoTime };
-        }
-        if sends > charged {
-            if !core.take_retry(&call.service) {
-                break if runs > 0 { Reason::Failed } else { Reason::NoTarget };
+    let mut run = Run {
+        core,
+        call,
+        idempotent: call.route.retry_safety.is_idempotent(),
+        tried: Vec::new(),
+        pending: Vec::new(),
+        sends: 0,
+        charged: 0,
+        runs: 0,
+        failed: None,
+    };
+    match run.answer().await {
+        Ok(response) => response,
+        Err(reason) => run.refuse(reason),
+    }
+}
+
+impl<'a> Run<'a> {
+    /// The response of the first target that gives a valid one.
+    async fn answer(&mut self) -> Result<Response<ResponseBody>, Reason> {
+        let mut open = Open::new();
+        loop {
+            if open.is_empty() {
+                let found = self.next_target().await?;
+                open.push(self.begin(found, false));
             }
-            charged = sends;
+            let second = second::find(self.core, self.call, &self.tried, self.pending.last());
+            let step = tokio::select! {
+                biased;
+                Some(ended) = open.next() => Step::Ended(ended),
+                second = second, if self.may_run_again() => Step::Found(second),
+            };
+            match step {
+                Step::Ended((link, Attempt::Answered(response))) => {
+                    self.drop_others(&link);
+                    return Ok(response);
+                }
+                Step::Ended((link, result)) => self.record_end(link, result)?,
+                Step::Found(second) if self.charge() => {
+                    second::note_found(self.core, self.call, &second);
+                    open.push(self.begin(second.found, second.new_connection));
+                }
+                Step::Found(_) => {}
+            }
+        }
+    }
+
+    /// The target for an attempt when no other one is open.
+    async fn next_target(&mut self) -> Result<Found, Reason> {
+        if self.left() == Ms::ZERO {
+            return Err(if self.runs > 0 { Reason::Timeout } else { Reason::NoTime });
         }
-        let (link, permit) = match acquire(core, call, &tried).await {
-            Ok(found) => found,
-            Err(reason) => break if runs > 0 { Reason::Failed } else { reason },
-        };
-        let left = call.left(core.clock.now());
-        if left == Ms::ZERO {
+        let denied = if self.runs > 0 { Reason::Failed } else { Reason::NoTarget };
+        if self.must_charge() && !second::retry_left(self.core, self.call) {
+            self.core.metrics.retry(self.call.service.as_str(), "denied");
+            return Err(denied);
+        }
+        let found = acquire(self.core, self.call, &self.tried).await;
+        let found = found.map_err(|reason| if self.runs > 0 { Reason::Failed } else { reason })?;
+        match self.left() {
             // It waited for the connection until its time was over.
-            continue;
+            Ms::ZERO if self.runs > 0 => Err(Reason::Timeout),
+            Ms::ZERO => Err(Reason::NoTime),
+            _ if self.charge() => Ok(found),
+            _ => Err(denied),
         }
-        let may_retry = idempotent && runs + 1 < call.route.attempts;
-        let timeout = match may_retry {
-            true => call.route.latency_goal.scale(ATTEMPT_TIMEOUT.0, ATTEMPT_TIMEOUT.1).min(left),
-            false => left,
-        };
-        let result = attempt(core, call, &link, timeout, permit).await;
-        if matches!(result, Attempt::Unproved) {
-            // The target opens no connection for now, and can have the request on another one.
-            continue;
+    }
+
+    fn left(&self) -> Ms {
+        self.call.left(self.core.clock.now())
+    }
+
+    const fn must_charge(&self) -> bool {
+        self.sends > self.charged
+    }
+
+    /// Takes a retry from the budget, unless this is the first send. Returns whether it may be sent.
+    fn charge(&mut self) -> bool {
+        if !self.must_charge() {
+            return true;
         }
-        tried.push(link.clone());
-        sends += u32::from(!matches!(result, Attempt::Blocked));
+        let granted = self.core.take_retry(&self.call.service);
+        if granted {
+            self.charged = self.sends;
+        }
+        granted
+    }
+
+    fn begin(&mut self, found: Found, new_connection: bool) -> BoxFuture<'a, Ended> {
+        let (core, call) = (self.core, self.call);
+        let (link, permit) = found;
+        let (sent, lost) = (core.clock.now(), core.pauses.lost());
+        self.sends += 1;
+        self.tried.push(link.clone());
+        self.pending.push(Pending { link: link.clone(), sent, lost });
+        let via = via(permit, new_connection);
+        Box::pin(async move {
+            let result = attempt(core, call, &link, sent, via).await;
+            (link, result)
+        })
+    }
+
+    /// Whether another target may run the request as well.
+    fn may_run_again(&self) -> bool {
+        let runs = self.runs as usize + self.pending.len();
+        self.idempotent
+            && runs < self.call.route.attempts as usize
+            && self.tried.len() < MAX_TARGETS
+    }
+
+    /// Records how an attempt ended without a valid response. An error if the request can't be sent
+    /// again.
+    fn record_end(&mut self, link: Arc<Link>, result: Attempt) -> Result<(), Reason> {
+        self.pending.retain(|p| !Arc::ptr_eq(&p.link, &link));
         match result {
-            Attempt::Answered(response) => return response,
-            Attempt::Blocked | Attempt::Unproved | Attempt::NotRun => {}
+            Attempt::Unproved => {
+                // The target opens no connection for now, and can have the request on another one.
+                self.sends -= 1;
+                self.tried.retain(|tried| !Arc::ptr_eq(tried, &link));
+                return Ok(());
+            }
+            Attempt::Blocked => self.sends -= 1,
+            Attempt::Answered(_) | Attempt::NotRun => {}
             Attempt::Failed(response) => {
-                runs += 1;
-                failed = Some((response, link));
+                self.runs += 1;
+                self.failed = Some((response, link));
             }
-            Attempt::Lost => runs += 1,
+            Attempt::Lost => self.runs += 1,
         }
-        let retryable = runs == 0 || (idempotent && runs < call.route.attempts);
-        if !retryable || tried.len() >= MAX_TARGETS {
-            let timed_out = call.left(core.clock.now()) == Ms::ZERO;
-            break match () {
-                () if runs == 0 => Reason::NoTarget,
-                () if timed_out => Reason::Timeout,
-                () => Reason::Failed,
-            };
+        let retryable = self.runs == 0 || (self.idempotent && self.runs < self.call.route.attempts);
+        match () {
+            () if !self.pending.is_empty() => Ok(()),
+            () if retryable && self.tried.len() < MAX_TARGETS => Ok(()),
+            () if self.runs == 0 => Err(Reason::NoTarget),
+            () if self.left() == Ms::ZERO => Err(Reason::Timeout),
+            () => Err(Reason::Failed),
+        }
+    }
+
+    /// Records that the attempts at other targets than the one that has answered are dropped. This
+    /// closes their connections, so that these targets stop working on the request.
+    fn drop_others(&mut self, answered: &Arc<Link>) {
+        for pending in self.pending.drain(..).filter(|p| !Arc::ptr_eq(&p.link, answered)) {
+            second::record_dropped(self.core, self.call, &pending);
+        }
+    }
+
+    /// The response when no target has given a valid one.
+    fn refuse(self, reason: Reason) -> Response<ResponseBody> {
+        // A target's own failure response tells the caller more than one of this host.
+        match self.failed {
+            Some((response, target)) => {
+                note_passed_on(self.core, self.call, &response, &target, self.runs);
+                response
+            }
+            None => give_up(self.core, self.call, reason, self.tried.len(), self.runs),
         }
-    };
-    // A target's own failure response tells the caller more than one of this host.
-    if let Some((response, target)) = failed {
-        note_passed_on(core, call, &response, &target, runs);
-        return response;
     }
-    give_up(core, call, reason, tried.len(), runs)
+}
+
+fn via(permit: Option<Permit>, new_connection: bool) -> Via {
+    match permit {
+        Some(mut permit) => {
+            if new_connection {
+                permit.renew();
+            }
+            Via::Permit(permit)
+        }
+        None if new_connection => Via::New,
+        None => Via::Pool(IfClosed::Reopen),
+    }
 }
 
 fn note_passed_on(
@@ -131,102 +262,6 @@
     );
 }
 
-async fn attempt(
-    core: &Arc<Core>,
-    call: &Call,
-    link: &Arc<Link>,
-    timeout: Ms,
-    permit: Option<Permit>,
-) -> Attempt {
-    let (started, lost) = (core.clock.now(), core.pauses.lost());
-    let wait = Wait::Running { within: timeout, most: call.left(started) };
-    let build = || call.target_request(headers(core, call, link, &[], call.head.last_event, None));
-    let via = permit.map_or(Via::Pool(IfClosed::Reopen), Via::Permit);
-    let result = send(core, link, &call.residency, &call.head.id, wait, via, build).await;
-    let answered = match result {
-        Ok(answered) => answered,
-        Err(fault) => return attempt_failed(core, call, link, fault),
-    };
-    let head = answered.head;
-    if head.not_run {
-        let outcome = if head.moved { Outcome::NoConnection } else { Outcome::Full };
-        link.record(core.clock.now(), outcome);
-        core.metrics.sent(&call.route.name, "not_run");
-        answered.lease.close();
-        return Attempt::NotRun;
-    }
-    let end = (started + timeout + (core.pauses.lost() - lost)).min(call.deadline);
-    let Ok((parts, body)) = read(answered, end - core.clock.now()).await else {
-        link.record(core.clock.now(), Outcome::Broken);
-        return attempt_failed(core, call, link, SendFault::Broken);
-    };
-    let now = core.clock.now();
-    let status = parts.status;
-    // The end of any other answer may be that of its target.
-    let framed = is_framed(&parts.headers);
-    let valid = !status.is_success() || (head.signed && !head.encoded);
-    if !valid {
-        link.record(now, Outcome::Broken);
-        return attempt_failed(core, call, link, SendFault::Mismatch);
-    }
-    let response = build_response(core, &parts, body);
-    if status.is_server_error() {
-        link.record(now, Outcome::Failed);
-        core.metrics.sent(&call.route.name, "failed");
-        return Attempt::Failed(response);
-    }
-    link.record(now, Outcome::Good(now - started));
-    if framed {
-        core.poison().clear(call.fingerprint);
-    }
-    core.metrics.sent(&call.route.name, "good");
-    core.metrics.answered(&call.route.name, now - call.arrived, call.route.latency_goal);
-    let late = now - call.arrived - call.route.latency_goal;
-    if let Some(stands_for) = core.sample(late > Ms::ZERO) {
-        note!(
-            logs::Event::RequestServed,
-            request = %call.head.id,
-            route = %call.route.name,
-            version = call.catalog.version,
-            target = link.name(),
-            took_ms = (now - call.arrived).0,
-            late_ms = late.0,
-            stands_for
-        );
-    }
-    Attempt::Answered(response)
-}
-
-async fn read(answered: Answered, timeout: Ms) -> Result<(Parts, Bytes), link::LinkError> {
-    let Answered { parts, body, lease, .. } = answered;
-    let read = link::read(body, MAX_RESPONSE_BYTES);
-    let body = tokio::time::timeout(timeout.duration(), read)
-        .await
-        .map_err(|_| link::LinkError::Silent)??;
-    lease.close();
-    Ok((parts, body))
-}
-
-fn attempt_failed(core: &Core, call: &Call, link: &Link, fault: SendFault) -> Attempt {
-    note!(
-        logs::Event::AttemptFailed,
-        request = %call.head.id,
-        target = link.name(),
-        fault = fault.name(),
-        left_ms = call.left(core.clock.now()).0
-    );
-    core.metrics.sent(&call.route.name, fault.name());
-    if fault == SendFault::Broken {
-        report_crash(core, call, link);
-    }
-    match fault {
-        SendFault::Blocked(_) => Attempt::Blocked,
-        SendFault::Unproved => Attempt::Unproved,
-        _ if fault.unsent() => Attempt::NotRun,
-        _ => Attempt::Lost,
-    }
-}
-
 /// Records that a target broke its connection before its response was complete. If the request is
 /// to blame, all hosts must know, so the other hosts are notified of a crash that isn't known yet.
 pub(crate) fn report_crash(core: &Core, call: &Call, link: &Link) {
@@ -257,10 +292,3 @@
     };
     core.dialect.forward_headers(&call.parts.headers, &fields)
 }
-
-fn build_response(core: &Core, parts: &Parts, body: Bytes) -> Response<ResponseBody> {
-    let mut response = Response::new(full_body(body));
-    *response.status_mut() = parts.status;
-    *response.headers_mut() = core.dialect.response_headers(&parts.headers);
-    response
-}
--- /dev/null
+++ b/crates/edge/src/plain/attempt.rs
@@ -0,0 +1,155 @@
+//! One attempt of a plain request at one target.
+
+use base::Ms;
+use bytes::Bytes;
+use hyper::Response;
+use hyper::http::response::Parts;
+use link::LinkError;
+use logs::note;
+use sched::health::Outcome;
+use std::sync::Arc;
+
+use super::second::record_unanswered;
+use super::{headers, report_crash};
+use crate::body::{ResponseBody, full_body, is_framed};
+use crate::core::Core;
+use crate::links::Link;
+use crate::request::Call;
+use crate::send::{Answered, SendFault, Via, Wait, send};
+
+/// Largest response in bytes. A response is buffered completely, so that one that ends early is
+/// never passed on in part.
+const MAX_RESPONSE_BYTES: usize = 16 << 20;
+
+/// The outcome of one attempt.
+pub(super) enum Attempt {
+    /// A response to pass on to the caller.
+    Answered(Response<ResponseBody>),
+    /// The target reports that it failed; another one may succeed.
+    Failed(Response<ResponseBody>),
+    /// The request was not sent: by then the target could no longer get it.
+    Blocked,
+    /// The request was not sent: its new connection has not proved itself.
+    Unproved,
+    /// The request did not run.
+    NotRun,
+    /// The request may have run.
+    Lost,
+}
+
+/// Sends a request to a target at `started` and waits for its response until the request's time is
+/// over.
+pub(super) async fn attempt(
+    core: &Arc<Core>,
+    call: &Call,
+    link: &Arc<Link>,
+    started: Ms,
+    via: Via,
+) -> Attempt {
+    let wait = Wait::Deadline(call.left(started));
+    let build = || call.target_request(headers(core, call, link, &[], call.head.last_event, None));
+    let result = send(core, link, &call.residency, &call.head.id, wait, via, build).await;
+    let answered = match result {
+        Ok(answered) => answered,
+        Err(fault) => return failed(core, call, link, started, fault),
+    };
+    let head = answered.head;
+    if head.not_run {
+        let outcome = if head.moved { Outcome::NoConnection } else { Outcome::Full };
+        link.record(core.clock.now(), outcome);
+        core.metrics.sent(&call.route.name, "not_run");
+        answered.lease.close();
+        return Attempt::NotRun;
+    }
+    let (parts, body) = match read(answered, call.left(core.clock.now())).await {
+        Ok(read) => read,
+        Err(LinkError::Silent) => return failed(core, call, link, started, SendFault::Silent),
+        Err(_) => {
+            link.record(core.clock.now(), Outcome::Broken);
+            return failed(core, call, link, started, SendFault::Broken);
+        }
+    };
+    let now = core.clock.now();
+    let status = parts.status;
+    // The end of any other answer may be that of its target.
+    let framed = is_framed(&parts.headers);
+    let valid = !status.is_success() || (head.signed && !head.encoded);
+    if !valid {
+        link.record(now, Outcome::Broken);
+        return failed(core, call, link, started, SendFault::Mismatch);
+    }
+    let response = build_response(core, &parts, body);
+    if status.is_server_error() {
+        link.record(now, Outcome::Failed);
+        core.metrics.sent(&call.route.name, "failed");
+        return Attempt::Failed(response);
+    }
+    link.record(now, Outcome::Good(now - started));
+    if framed {
+        core.poison().clear(call.fingerprint);
+    }
+    record_served(core, call, link, now);
+    Attempt::Answered(response)
+}
+
+fn record_served(core: &Core, call: &Call, link: &Link, now: Ms) {
+    core.metrics.sent(&call.route.name, "good");
+    core.metrics.answered(&call.route.name, now - call.arrived, call.route.latency_goal);
+    let late = now - call.arrived - call.route.latency_goal;
+    if let Some(stands_for) = core.sample(late > Ms::ZERO) {
+        note!(
+            logs::Event::RequestServed,
+            request = %call.head.id,
+            route = %call.route.name,
+            version = call.catalog.version,
+            target = link.name(),
+            took_ms = (now - call.arrived).0,
+            late_ms = late.0,
+            stands_for
+        );
+    }
+}
+
+async fn read(answered: Answered, timeout: Ms) -> Result<(Parts, Bytes), LinkError> {
+    let Answered { parts, body, lease, .. } = answered;
+    let read = link::read(body, MAX_RESPONSE_BYTES);
+    let body =
+        tokio::time::timeout(timeout.duration(), read).await.map_err(|_| LinkError::Silent)??;
+    lease.close();
+    Ok((parts, body))
+}
+
+fn failed(
+    core: &Arc<Core>,
+    call: &Call,
+    link: &Arc<Link>,
+    started: Ms,
+    fault: SendFault,
+) -> Attempt {
+    note!(
+        logs::Event::AttemptFailed,
+        request = %call.head.id,
+        target = link.name(),
+        fault = fault.name(),
+        left_ms = call.left(core.clock.now()).0
+    );
+    core.metrics.sent(&call.route.name, fault.name());
+    match fault {
+        SendFault::Broken => report_crash(core, call, link),
+        SendFault::Silent => record_unanswered(core, link, started),
+        _ => {}
+    }
+    match fault {
+        SendFault::Blocked(_) => Attempt::Blocked,
+        SendFault::Unproved => Attempt::Unproved,
+        _ if fault.unsent() => Attempt::NotRun,
+        _ => Attempt::Lost,
+    }
+}
+
+fn build_response(core: &Core, parts: &Parts, body: Bytes) -> Response<ResponseBody> {
+    let mut response = Response::new(full_body(body));
+    *response.status_mut() = parts.status;
+    *response.headers_mut() = core.dialect.response_headers(&parts.headers);
+    response
+}
--- a/crates/edge/src/send.rs
+++ b/crates/edge/src/send.rs
@@ -120,6 +120,9 @@
         /// Time that whoever waits has; `Ms::MAX` for any.
         most: Ms,
     },
+    /// For this long, which is all the time that the caller has. What silence says of the target is
+    /// left to whoever waits.
+    Deadline(Ms),
 }
 
 /// What happens if a connection from the pool turns out to be closed before anything was sent.
@@ -135,6 +138,8 @@
 pub(crate) enum Via {
     /// An idle connection, or a new one if there is none.
     Pool(IfClosed),
+    /// A new connection.
+    New,
     /// The connection that a permit stands for.
     Permit(Permit),
 }
@@ -152,6 +157,9 @@
     build: impl Fn() -> Request<Bytes>,
 ) -> Result<Answered, SendFault> {
     let result = attempt(core, link, residency, id, wait, via, build).await;
+    if matches!((&result, wait), (Err(SendFault::Silent), Wait::Deadline(_))) {
+        return result;
+    }
     if matches!(result, Err(SendFault::Silent)) {
         core.record_silence(link);
     }
@@ -171,16 +179,17 @@
     build: impl Fn() -> Request<Bytes>,
 ) -> Result<Answered, SendFault> {
     let open = link.begin();
-    let (Wait::Fixed(within) | Wait::Running { within, .. }) = wait;
+    let (Wait::Fixed(within) | Wait::Running { within, .. } | Wait::Deadline(within)) = wait;
     let (begun, lost) = (core.clock.now(), core.pauses.lost());
     let end = begun + within;
-    let (mut permit, if_closed) = match via {
-        Via::Pool(if_closed) => (None, if_closed),
-        Via::Permit(permit) => (Some(permit), IfClosed::Reopen),
+    let (mut permit, if_closed, policy) = match via {
+        Via::Pool(if_closed) => (None, if_closed, ConnPolicy::Reuse),
+        Via::New => (None, IfClosed::Reopen, ConnPolicy::New),
+        Via::Permit(permit) => (Some(permit), IfClosed::Reopen, ConnPolicy::Reuse),
     };
     let mut dialed = match &mut permit {
         Some(permit) => permit.connect(residency).await?,
-        None => connect(core, link, residency, ConnPolicy::Reuse).await?,
+        None => connect(core, link, residency, policy).await?,
     };
     gate::admit(core, link).map_err(SendFault::Blocked)?;
     let mut result = dialed.conn.send(build().map(full), end - core.clock.now()).await;
--- a/crates/link/src/client.rs
+++ b/crates/link/src/client.rs
@@ -111,6 +111,12 @@
         self.idle.lock().unwrap_or_else(PoisonError::into_inner).clear();
     }
 
+    /// Closes the connections that have been idle for at least this long.
+    pub fn clear_idle(&self, time: Ms) {
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        idle.retain(|conn| conn.last_used.elapsed() < time.duration());
+    }
+
     /// Drops the idle connections that the far end has closed. Returns whether there were any.
     pub fn prune(&self) -> bool {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/logs/src/event.rs
+++ b/crates/logs/src/event.rs
@@ -117,6 +117,8 @@
     ConnectionWaitTooLong = 339, Info, "A request would wait for a connection beyond its deadline, and is refused: its rank, how many wait, and over how many connections they are served.";
     TargetSlowed = 340, Info, "A target reports that it is slow, by the smoothed pace in its answers (percent, 100 is normal); it gets less work.";
     TargetRecovered = 341, Info, "A target that was slow reports its normal pace again.";
+    SecondAttempt = 345, Info, "A target has not answered a request that may be repeated; it is also sent to another one, and the first attempt stays open.";
+    AttemptDropped = 346, Info, "An attempt without an answer was dropped because another target has answered the request.";
     JournalUnavailable = 400, Warn, "A key could not be recorded; its request was refused.";
     FinishRetried = 401, Warn, "The outcome of a keyed request could not be recorded yet; the write is retried.";
     FinishLost = 402, Error, "The outcome of a keyed request could not be recorded; re-sends are answered as unknown.";
--- a/crates/sched/src/budget.rs
+++ b/crates/sched/src/budget.rs
@@ -89,8 +89,8 @@
         self.recent(now, service).requests.push_back(now);
     }
 
-    /// Takes one retry from the budget, if there is one left.
-    pub fn take(&mut self, now: Ms, service: &PoolId) -> bool {
+    /// Whether there is a retry left.
+    pub fn has_left(&mut self, now: Ms, service: &PoolId) -> bool {
         let Allowance { ratio, slack, window } = self.allowance;
         let share = slack / self.hosts as f64;
         let past = self.past;
@@ -100,11 +100,16 @@
             Past::Unknown(until) if now - until <= window => YOUNG_SHARE * earned,
             Past::Unknown(_) | Past::None => USABLE_SHARE * (earned + share),
         };
-        let fits = (recent.retries.len() + 1) as f64 <= limit;
-        if fits {
-            recent.retries.push_back(now);
+        (recent.retries.len() + 1) as f64 <= limit
+    }
+
+    /// Takes one retry from the budget, if there is one left.
+    pub fn take(&mut self, now: Ms, service: &PoolId) -> bool {
+        let left = self.has_left(now, service);
+        if left {
+            self.recent(now, service).retries.push_back(now);
         }
-        fits
+        left
     }
 
     fn recent(&mut self, now: Ms, service: &PoolId) -> &mut Recent {
--- a/crates/sched/src/health.rs
+++ b/crates/sched/src/health.rs
@@ -7,6 +7,7 @@
 //! |---|---|
 //! | no connection | ejected at once: no request was lost, other targets are tried |
 //! | [`MAX_BREAKS`] broken or silent connections in a row | ejected |
+//! | a plain request unanswered for long, and no other answer since it was sent | avoided while others answer, except for one request at a time; ejected once that lasts for `MAX_SILENCE` |
 //! | the ejection ends | one trial request; if it fails, the next ejection lasts twice as long |
 //! | failed responses | a higher cost in proportion to their share: the target gets less work, but some |
 
@@ -27,6 +28,14 @@
 /// requests is tried again.
 const FAILURE_HALF_LIFE: f64 = 3_000.0;
 
+/// Silence after which a target counts as down. A sound one may be silent for a second or so, and go
+/// on.
+const MAX_SILENCE: Ms = Ms(2_000);
+/// Time for which a silent target is avoided while others answer.
+const AVOID_TIME: Ms = Ms(500);
+/// Interval between checks whether a silent target answers on a new connection.
+const CHECK_INTERVAL: Ms = Ms(1_000);
+
 /// How a request to a target ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
@@ -44,6 +53,31 @@
     Silent,
 }
 
+/// What a request without an answer says of its target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Unanswered {
+    /// It is slow: it has answered others in the latter half of the time since this one was sent.
+    Slow,
+    /// It has answered nothing meanwhile.
+    Silent {
+        /// Whether it is due to check whether the target answers on a new connection.
+        check: bool,
+    },
+    /// It has answered nothing for longer than a sound target is silent.
+    Down,
+}
+
+/// A span in which a target answers nothing.
+#[derive(Clone, Copy, Debug)]
+struct Silence {
+    /// When the first request without an answer was sent, or the last answer came after that.
+    since: Ms,
+    /// When a request was last found to be unanswered.
+    seen: Ms,
+    /// When a check was last due.
+    checked: Ms,
+}
+
 /// What a host knows about the health of one target.
 #[derive(Clone, Debug, Default)]
 pub struct Health {
@@ -54,12 +88,18 @@
     failure_rate: f64,
     failure_rate_at: Ms,
     latency: Option<f64>,
+    answered: Option<Ms>,
+    silence: Option<Silence>,
 }
 
 impl Health {
     /// Records the outcome of one request.
     pub fn record(&mut self, now: Ms, outcome: Outcome) {
         self.trial_running = false;
+        if matches!(outcome, Outcome::Good(_) | Outcome::Failed | Outcome::Full) {
+            self.answered = Some(now);
+            self.silence = None;
+        }
         match outcome {
             Outcome::Good(took) => {
                 self.recover();
@@ -83,6 +123,46 @@
         }
     }
 
+    /// Records that a request that was sent at `sent` has no answer yet.
+    pub fn unanswered(&mut self, now: Ms, sent: Ms) -> Unanswered {
+        // It may have fallen silent just after it got the request.
+        let half = sent + (now - sent).scale(1, 2);
+        if self.answered_since(half) {
+            return Unanswered::Slow;
+        }
+        // Between two that are far apart, the target may just have had no request.
+        let joins = |s: &Silence| self.ejections > 0 || sent - s.seen <= MAX_SILENCE;
+        let old = self.silence.filter(joins);
+        let begun = self.answered.map_or(sent, |at| at.max(sent));
+        let check = old.is_none_or(|s| now - s.checked >= CHECK_INTERVAL);
+        let since = old.map_or(begun, |s| s.since.min(begun));
+        let checked = old.filter(|_| !check).map_or(now, |s| s.checked);
+        self.silence = Some(Silence { since, seen: now, checked });
+        match now - since >= MAX_SILENCE {
+            true => Unanswered::Down,
+            false => Unanswered::Silent { check },
+        }
+    }
+
+    /// The same for a request that was given up.
+    pub fn given_up(&mut self, now: Ms, sent: Ms) -> Unanswered {
+        let unanswered = self.unanswered(now, sent);
+        if unanswered != Unanswered::Down {
+            self.update_failure_rate(now, 1.0);
+        }
+        unanswered
+    }
+
+    /// Whether it has answered a request after this time.
+    pub fn answered_since(&self, time: Ms) -> bool {
+        self.answered.is_some_and(|at| at > time)
+    }
+
+    /// Whether the target is silent, and other targets should get its requests if they answer.
+    pub fn avoided(&self, now: Ms) -> bool {
+        self.silence.is_some_and(|s| self.trial_running || now - s.seen < AVOID_TIME)
+    }
+
     /// Records that a request is over, whether its outcome was recorded or not.
     pub fn end(&mut self) {
         self.trial_running = false;
@@ -108,7 +188,7 @@
 
     /// Records that a request is being sent.
     pub fn begin(&mut self) {
-        self.trial_running = self.ejected.is_some();
+        self.trial_running = self.ejected.is_some() || self.silence.is_some();
     }
 
     /// End of the ejection, if the target is ejected.
@@ -143,5 +223,6 @@
         self.broken_in_row = 0;
         self.ejections = 0;
         self.ejected = None;
+        self.silence = None;
     }
 }
--- a/crates/sched/tests/small.rs
+++ b/crates/sched/tests/small.rs
@@ -4,7 +4,7 @@
 use base::{Ms, PoolId, TargetId};
 use catalog::{Backend, Batch, Residency, RetrySafety, Route, Stage};
 use sched::estimate::Estimate;
-use sched::health::{Health, Outcome};
+use sched::health::{Health, Outcome, Unanswered};
 use sched::poison::{POISON_THRESHOLD, Poison, RETENTION, Recipients, recipients};
 use sched::retry_after::retry_after;
 use sched::sample::Sampler;
@@ -74,6 +74,44 @@
     assert!(!health.usable(Ms(2)));
 }
 
+// Guards against a sound target that is taken out because it was silent for a moment.
+#[test]
+fn a_target_that_was_silent_for_a_moment_is_usable() {
+    let mut health = Health::default();
+    for now in [Ms(750), Ms(1_000), Ms(1_200)] {
+        assert!(matches!(health.given_up(now, Ms(0)), Unanswered::Silent { .. }));
+        assert!(health.usable(now) && health.avoided(now));
+    }
+    assert!(!health.avoided(Ms(1_700)));
+    health.record(Ms(1_300), Outcome::Good(Ms(1_300)));
+    assert!(!health.avoided(Ms(1_300)));
+    assert_eq!(health.given_up(Ms(1_400), Ms(600)), Unanswered::Slow);
+    assert!(matches!(health.given_up(Ms(2_050), Ms(1_299)), Unanswered::Silent { .. }));
+}
+
+// Guards against requests that go on to a target that answers nothing.
+#[test]
+fn a_target_that_is_silent_for_long_is_down() {
+    let mut health = Health::default();
+    health.unanswered(Ms(750), Ms(0));
+    health.unanswered(Ms(2_000), Ms(1_250));
+    assert_eq!(health.given_up(Ms(2_010), Ms(1_260)), Unanswered::Down);
+    health.record(Ms(2_010), Outcome::Silent);
+    health.record(Ms(2_020), Outcome::Silent);
+    assert!(!health.usable(Ms(2_400)));
+    assert_eq!(health.given_up(Ms(3_300), Ms(2_550)), Unanswered::Down, "its trial");
+}
+
+// Guards against two short silences that count as a long one, because no request was sent between
+// them.
+#[test]
+fn silences_that_are_far_apart_are_two() {
+    let mut health = Health::default();
+    health.unanswered(Ms(750), Ms(0));
+    let later = health.unanswered(Ms(9_750), Ms(9_000));
+    assert_eq!(later, Unanswered::Silent { check: true });
+}
+
 // Guards against a target that gets no request any more, because its trial request was dropped.
 #[test]
 fn a_dropped_trial_is_followed_by_another() {
