--- a/crates/edge/src/links.rs
+++ b/crates/edge/src/links.rs
@@ -142,7 +142,7 @@
     pub(crate) fn record(&self, now: Ms, outcome: Outcome) {
         self.health().record(now, outcome);
         match outcome {
-            Outcome::Good(_) => self.reports.record_response(now, self.entry.slots),
+            Outcome::Good(took) => self.reports.record_response(now, took, self.entry.slots),
             // It may have been restarted, and be cold before its new registration is known.
             Outcome::NoConnection | Outcome::Broken | Outcome::Silent => {
                 self.warmup().suspect_until(now + self.rejoin_time);
@@ -225,8 +225,13 @@
         self.limit.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Number of requests that it has waiting, as it last reported; none if that is too long ago.
+    /// Number of requests that it has waiting, as it last reported; 0 if that is too long ago.
     pub(crate) fn queued(&self, now: Ms) -> u32 {
+        self.reported_queue(now).unwrap_or(0)
+    }
+
+    /// The same; none if that is too long ago.
+    pub(crate) fn reported_queue(&self, now: Ms) -> Option<u32> {
         self.reports.queued(now)
     }
 
