--- a/crates/edge/src/relay/outcome.rs
+++ b/crates/edge/src/relay/outcome.rs
@@ -43,13 +43,12 @@
     /// decided.
     pub(super) async fn attempt_ended(&mut self, ended: Ended) -> Option<Step> {
         self.pending = None;
-        let verdict = self.judge(ended);
-        match verdict {
+        match self.judge(ended) {
             Verdict::Began(parts) => {
                 self.withdraw_successor();
-                return Some(Step::Began(parts));
+                Some(Step::Began(parts))
             }
-            _ if self.promote() => return None,
+            _ if self.promote() => None,
             Verdict::NotRun => None,
             Verdict::InputsGone if self.stages_rerun => {
                 Some(Step::GivenUp(Reason::Stages(stages::longest_call(&self.call))))
