Streams: pass on the events before a broken one

What callers would see: a stream that goes on at another engine without the events that came in one read with a broken one (a gap or a repeat of ids): they were dropped with it, but counted as passed on, so the next engine was asked for what follows them. Found by review, by reading.

The position moves only when the whole read is sound. The test fails without the change (position 6 instead of 4, by reading; not run on the code before).

--- a/crates/edge/src/events.rs
+++ b/crates/edge/src/events.rs
@@ -78,20 +78,23 @@
     /// Checks that the ids continue the stream, and drops events that the caller already has.
     fn check(&mut self, events: Bytes) -> Parsed {
         let (mut start, mut kept_from) = (0, 0);
+        // Kept aside: if one event is broken, those before it aren't passed on either.
+        let mut last = self.last;
         while let Some(len) = end_of_event(&events[start..]) {
             let id = event_id(&events[start..start + len]);
-            match (id, self.last) {
+            match (id, last) {
                 // The caller already has this event: a run may begin at an earlier one.
                 (Some(id), Some(last)) if id <= last => match kept_from == start {
                     true => kept_from = start + len,
                     false => return Parsed::Broken,
                 },
                 (Some(id), Some(last)) if id > last + 1 => return Parsed::Broken,
-                (Some(id), _) => self.last = Some(id),
+                (Some(id), _) => last = Some(id),
                 (None, _) => {}
             }
             start += len;
         }
+        self.last = last;
         Parsed::Events(events.slice(kept_from..))
     }
 }
--- a/crates/edge/tests/events.rs
+++ b/crates/edge/tests/events.rs
@@ -54,6 +54,14 @@
     assert_eq!(push(&mut stream, &event(5)), Parsed::Broken);
 }
 
+// Guards against events that nobody passes on: those that come in one piece with a broken one.
+#[test]
+fn events_before_a_broken_one_are_asked_for_again() {
+    let mut stream = EventStream::new(Some(4));
+    assert_eq!(push(&mut stream, &(event(5) + &event(6) + &event(8))), Parsed::Broken);
+    assert_eq!(stream.last(), Some(4));
+}
+
 #[test]
 fn a_caller_that_resumes_gets_only_later_events() {
     let mut stream = EventStream::new(Some(7));
