Stages: a failure of one composer does not end what another works on

What callers would see: 503, or their one rerun of stages spent, because the composer that was asked second failed at once while the first one, that had only been silent, was about to deliver. Found by review, by reading: failed pieces counted as results.

A failure is kept until nobody else works on the stage. No test of its own.

--- a/crates/edge/src/submit.rs
+++ b/crates/edge/src/submit.rs
@@ -89,12 +89,22 @@
     open: FuturesUnordered<BoxFuture<'static, (Owner, Result<StageResults, RemoteFault>)>>,
     /// Whether a composer's configuration doesn't declare the service.
     undeclared: bool,
+    /// A failure that one of them has returned.
+    failed: Option<Ended>,
 }
 
 impl<'a> Asked<'a> {
     fn new(app: &'a Arc<App>, service: &'a PoolId, work: StageWork) -> Self {
         let begun = app.core.clock.now();
-        Self { app, service, work, begun, open: FuturesUnordered::new(), undeclared: false }
+        Self {
+            app,
+            service,
+            work,
+            begun,
+            open: FuturesUnordered::new(),
+            undeclared: false,
+            failed: None,
+        }
     }
 
     /// Has other hosts compose the stage; none if this host has to.
@@ -131,7 +141,8 @@
         self.first(&Owner::Me).await.unwrap_or(Err(StageFault::Failed))
     }
 
-    /// The first results of any composer; none once the one that was asked last has none.
+    /// The first results of any composer; none once the one that was asked last has none. A failure
+    /// counts only if nobody else works on the stage.
     async fn first(&mut self, last: &Owner) -> Option<Ended> {
         while let Some((owner, end)) = self.open.next().await {
             let request = self.work.request.as_str();
@@ -143,20 +154,26 @@
                     note!(logs::Event::ServiceUndeclared, request, service = %service, host = %host);
                     self.undeclared = true;
                 }
+                (Ok(results), _) if has_fault(&results) && !self.open.is_empty() => {
+                    self.failed = Some(Ok((owner, results)));
+                    continue;
+                }
                 (Ok(results), _) => {
                     if owner != *last {
                         note!(logs::Event::ComposerBack, request, service = %self.service);
                     }
                     return Some(Ok((owner, results)));
                 }
-                (Err(RemoteFault::Late), _) => return Some(Err(StageFault::Late(Ms::ZERO))),
+                (Err(RemoteFault::Late), _) => {
+                    return self.failed.take().or(Some(Err(StageFault::Late(Ms::ZERO))));
+                }
                 (Err(RemoteFault::Lost), _) => {}
             }
             if owner == *last {
                 return None;
             }
         }
-        None
+        self.failed.take()
     }
 
     /// The stage as it is submitted now.
@@ -168,6 +185,11 @@
     }
 }
 
+/// Whether a piece of a stage has failed.
+fn has_fault(results: &StageResults) -> bool {
+    results.results.iter().any(|r| r.fault() != PieceFault::None)
+}
+
 /// The results that a stage reads and no other. Unless a composer has returned the stage's results, and
 /// so has released them, they are released when this is dropped: nobody reads them any more.
 struct Inputs<'a> {
