Plain requests: search again after the queue for connections was too long

A request whose first target is dead never looked for a second one again once the queue was too long for a moment, and ended at its deadline. Found by review, by reading. It searches again after the wait that the queue names, 250 ms at least. No test of its own.

--- a/crates/edge/src/plain/second.rs
+++ b/crates/edge/src/plain/second.rs
@@ -28,6 +28,8 @@
 const ATTEMPT_TIMEOUT: (u64, u64) = (3, 2);
 /// Interval between searches for a second target.
 const SEARCH_INTERVAL: Ms = Ms(50);
+/// The same after the queue for connections was too long. Each such search leaves a line.
+const MIN_CONNECTION_WAIT: Ms = Ms(250);
 
 /// Time within which an answer on a new connection may overtake those on others.
 const OVERTAKE_TIME: Ms = Ms(50);
@@ -88,8 +90,11 @@
     }
     match acquire(core, call, tried).await {
         Ok(found) => Some(found),
-        // No other target can serve it in its time.
-        Err(Reason::Connections(_)) => pending().await,
+        // The queue for connections is too long at the moment.
+        Err(Reason::Connections(wait)) => {
+            tokio::time::sleep(wait.max(MIN_CONNECTION_WAIT).duration()).await;
+            None
+        }
         Err(_) => None,
     }
 }
