Relay: a withdrawn successor leaves the rerun of stages, and 503 stays true

Found by review, by reading: - A successor that was withdrawn while it ran the stages again had spent the one rerun of the request, so that a later break of its engine cut the stream. - A failure to run the stages again was answered with 503, which says that the request has not run, after an engine may have run it. It is 502 now. - The 300 ms after which a request counts as accepted included time for which this host did not run. - A withdrawn attempt left no line, and an obstacle of an earlier silence was named by a later cut. No tests of their own.

--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -1,8 +1,8 @@
 //! Relays a stream to its caller, across all engines that run the request in turn.
 //!
 //! A sound engine may be silent for a second or so and go on. So an engine is never given up for its
-//! silence alone: it is kept until another one, its successor, has begun to answer or has accepted
-//! the request. If no other may go on, or it is rejected everywhere, the stream stays where it is
+//! silence alone: it is kept until another one, its successor, has begun to answer or has held the
+//! request for a moment without rejecting it. If no other may go on, or it is rejected everywhere, the stream stays where it is
 //! while the caller's time lasts.
 
 mod attempt;
@@ -28,7 +28,6 @@
 use crate::request::Call;
 use crate::results::Results;
 use crate::send::Lease;
-use crate::stages;
 
 /// Result of starting a stream.
 pub(crate) enum Started {
@@ -223,7 +222,7 @@
         }
         let rerun = self.inputs_gone || (self.begun && self.results.released());
         if rerun && self.stages_rerun {
-            let reason = Reason::Stages(stages::longest_call(&self.call));
+            let reason = self.stages_failed();
             self.obstacle = Some(AttemptFault::Stages(reason));
             return Err(reason);
         }
@@ -325,9 +324,10 @@
 /// The reason of a refusal for an obstacle to sending a request.
 fn refusal(fault: AttemptFault, runs: u32) -> Reason {
     match fault {
-        AttemptFault::Stages(reason) => reason,
         AttemptFault::Blocked(BlockReason::PoisonPart) => Reason::PoisonPart,
-        AttemptFault::Blocked(_) if runs > 0 => Reason::Failed,
+        // Not a refusal that says that it has not run.
+        AttemptFault::Stages(_) | AttemptFault::Blocked(_) if runs > 0 => Reason::Failed,
+        AttemptFault::Stages(reason) => reason,
         AttemptFault::Blocked(reason) => reason.into(),
         AttemptFault::OtherIncarnation | AttemptFault::Send(_) => Reason::Failed,
     }
--- a/crates/edge/src/relay/attempt.rs
+++ b/crates/edge/src/relay/attempt.rs
@@ -29,6 +29,8 @@
 /// An attempt whose answer has not begun. If it is dropped, its connection is closed and its engine
 /// stops working on the request.
 pub(super) struct Attempt {
+    /// Whether the stages are run again for it.
+    pub(super) rerun: bool,
     progress: watch::Receiver<Progress>,
     ended: BoxFuture<'static, Ended>,
 }
@@ -112,7 +114,7 @@
             rerun,
             progress,
         };
-        Self { progress: reader, ended: job.run().boxed() }
+        Self { rerun, progress: reader, ended: job.run().boxed() }
     }
 
     /// How far it is.
--- a/crates/edge/src/relay/forward.rs
+++ b/crates/edge/src/relay/forward.rs
@@ -62,6 +62,7 @@
     /// Records that the engine that streams has sent something. Its successor is not needed.
     fn record_sign_of_life(&mut self) {
         self.withdraw_successor();
+        self.obstacle = None;
         if let Some(open) = self.open.as_ref().filter(|_| self.silence.is_noticed()) {
             note!(
                 logs::Event::EngineResponds,
--- a/crates/edge/src/relay/outcome.rs
+++ b/crates/edge/src/relay/outcome.rs
@@ -50,9 +50,7 @@
             }
             _ if self.promote() => None,
             Verdict::NotRun => None,
-            Verdict::InputsGone if self.stages_rerun => {
-                Some(Step::GivenUp(Reason::Stages(stages::longest_call(&self.call))))
-            }
+            Verdict::InputsGone if self.stages_rerun => Some(Step::GivenUp(self.stages_failed())),
             Verdict::InputsGone => {
                 self.inputs_gone = true;
                 None
@@ -237,7 +235,25 @@
     /// Drops the successor: the engine before it goes on.
     pub(super) fn withdraw_successor(&mut self) {
         let Some(attempt) = self.successor.take() else { return };
-        self.count(&attempt.progress());
+        let progress = attempt.progress();
+        self.count(&progress);
+        match (progress.written, progress.link) {
+            (Some(written), Some(link)) => self.note_dropped(&link, written),
+            // The stages have not been run again for anybody.
+            _ if attempt.rerun => self.stages_rerun = false,
+            _ => {}
+        }
+    }
+
+    fn note_dropped(&self, link: &Link, written: Ms) {
+        note!(
+            logs::Event::AttemptDropped,
+            request = %self.call.head.id,
+            route = %self.call.route.name,
+            target = link.name(),
+            open_ms = (self.core.clock.now() - written).0
+        );
+        self.core.metrics.sent(&self.call.route.name, "dropped");
     }
 
     /// Counts an attempt that is dropped.
@@ -266,6 +282,12 @@
         if self.runs > 0 { Reason::Timeout } else { Reason::NoTime }
     }
 
+    /// The refusal of a request whose stages can't be run once more.
+    pub(super) fn stages_failed(&self) -> Reason {
+        let reason = Reason::Stages(stages::longest_call(&self.call));
+        refusal(AttemptFault::Stages(reason), self.runs)
+    }
+
     /// Why a request has failed that an engine may have run.
     fn failure(&self) -> Reason {
         match self.call.left(self.core.clock.now()) {
--- a/crates/edge/src/relay/silence.rs
+++ b/crates/edge/src/relay/silence.rs
@@ -82,6 +82,10 @@
     let written = progress.wait_for(|p| p.written.is_some()).await.ok().and_then(|p| p.written);
     // Without it the attempt has ended, which is an event of its own.
     let Some(written) = written else { return std::future::pending().await };
+    let lost = core.pauses.lost();
     let left = written + ACCEPT_TIME - core.clock.now();
     tokio::time::sleep(left.duration()).await;
+    // A rejection may have arrived while this host did not run.
+    let paused = (core.pauses.lost() - lost).min(ACCEPT_TIME);
+    tokio::time::sleep(paused.duration()).await;
 }
--- a/crates/logs/src/event.rs
+++ b/crates/logs/src/event.rs
@@ -121,7 +121,7 @@
     ComposerBack = 343, Info, "A composer of stages that had fallen silent answered before the one that was asked after it; its results are used.";
     StagesCut = 344, Warn, "The grace period of a stopping host ended while it composed stages of other hosts, which have them run again.";
     SecondAttempt = 345, Info, "A target has not answered a request that may be repeated; it is also sent to another one, and the first attempt stays open.";
-    AttemptDropped = 346, Info, "An attempt without an answer was dropped because another target has answered the request.";
+    AttemptDropped = 346, Info, "An attempt without an answer was dropped because another target has answered the request, or goes on with it.";
     JournalUnavailable = 400, Warn, "A key could not be recorded; its request was refused.";
     FinishRetried = 401, Warn, "The outcome of a keyed request could not be recorded yet; the write is retried.";
     FinishLost = 402, Error, "The outcome of a keyed request could not be recorded; re-sends are answered as unknown.";
