--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -9,6 +9,8 @@
 mod forward;
 mod outcome;
 mod silence;
+mod successor;
+mod wait;
 
 use base::{BuildId, Ms};
 use hyper::Response;
@@ -16,8 +18,9 @@
 use logs::note;
 use std::sync::Arc;
 
-use self::attempt::{Attempt, AttemptFault, Ended, MAX_ENGINES};
-use self::silence::{Silence, accepted};
+use self::attempt::{Attempt, AttemptFault, MAX_ENGINES};
+use self::silence::Silence;
+use self::wait::Event;
 use crate::body::ResponseBody;
 use crate::core::Core;
 use crate::events::EventStream;
@@ -79,9 +82,9 @@
     begun: bool,
     /// Engines that were selected so far.
     tried: Vec<Arc<Link>>,
-    /// Number of sends, whatever their outcome.
+    /// Number of sends that have ended, whatever their outcome.
     sends: u32,
-    /// Number of sends that an engine may have run.
+    /// Number of sends that an engine may have run: those that have ended, and that of `open`.
     runs: u32,
     events: EventStream,
     /// The engine that streams; none if `pending` runs the stream, or nobody.
@@ -197,24 +200,6 @@
         }
     }
 
-    /// Waits for the next event, for the deadline at most.
-    async fn event(&mut self, now: Ms) -> Event {
-        let next = self.silence_end().unwrap_or(Ms::MAX).min(self.call.deadline);
-        let writes = self.pending.is_some() || self.successor.is_some();
-        let progress = self.successor.as_ref().map(Attempt::watch);
-        let (open, pending, successor) = (&mut self.open, &mut self.pending, &mut self.successor);
-        tokio::select! {
-            // First: nothing may be written once a part of the prompt is known to end engines.
-            biased;
-            () = self.core.poisoned(&self.call.head), if writes => Event::Poisoned,
-            frame = next_frame(open) => Event::Frame(frame),
-            ended = next_end(pending) => Event::Ended(ended),
-            ended = next_end(successor) => Event::SuccessorEnded(ended),
-            () = accepted(&self.core, progress) => Event::Accepted,
-            () = tokio::time::sleep((next - now).duration()) => Event::Timer,
-        }
-    }
-
     /// Begins an attempt while nobody runs the stream.
     fn begin(&mut self, now: Ms) -> Result<(), Reason> {
         if self.call.left(now) == Ms::ZERO {
@@ -271,38 +256,6 @@
     }
 }
 
-/// What a relay waits for.
-enum Event {
-    /// Bytes of the stream, or its end.
-    Frame(Option<Result<hyper::body::Frame<bytes::Bytes>, hyper::Error>>),
-    /// The attempt has ended.
-    Ended(Ended),
-    /// The successor's attempt has ended.
-    SuccessorEnded(Ended),
-    /// A part of the prompt ends engines.
-    Poisoned,
-    /// The successor's engine has accepted the request.
-    Accepted,
-    /// The deadline or the end of a silence.
-    Timer,
-}
-
-async fn next_frame(
-    open: &mut Option<OpenStream>,
-) -> Option<Result<hyper::body::Frame<bytes::Bytes>, hyper::Error>> {
-    match open {
-        Some(open) => http_body_util::BodyExt::frame(&mut open.body).await,
-        None => std::future::pending().await,
-    }
-}
-
-async fn next_end(attempt: &mut Option<Attempt>) -> Ended {
-    match attempt {
-        Some(attempt) => attempt.ended().await,
-        None => std::future::pending().await,
-    }
-}
-
 impl Drop for Relay {
     /// Logs that the caller left in the middle of its stream, which drops the relay.
     fn drop(&mut self) {
--- a/crates/edge/src/relay/outcome.rs
+++ b/crates/edge/src/relay/outcome.rs
@@ -43,13 +43,24 @@
     /// decided.
     pub(super) async fn attempt_ended(&mut self, ended: Ended) -> Option<Step> {
         self.pending = None;
-        match self.judge(ended) {
+        let verdict = self.judge(ended);
+        match verdict {
             Verdict::Began(parts) => {
                 self.withdraw_successor();
                 Some(Step::Began(parts))
             }
-            _ if self.promote() => None,
-            Verdict::NotRun => None,
+            _ => match self.promote() {
+                true => None,
+                false => self.attempt_failed(verdict).await,
+            },
+        }
+    }
+
+    /// An attempt has failed, and nobody runs the stream any more. Without a result it is sent to
+    /// another engine.
+    async fn attempt_failed(&mut self, verdict: Verdict) -> Option<Step> {
+        match verdict {
+            Verdict::Began(_) | Verdict::NotRun => None,
             Verdict::InputsGone if self.stages_rerun => Some(Step::GivenUp(self.stages_failed())),
             Verdict::InputsGone => {
                 self.inputs_gone = true;
@@ -200,64 +211,8 @@
         Box::new(parts)
     }
 
-    /// Lets the successor run the stream, if there is one.
-    pub(super) fn promote(&mut self) -> bool {
-        self.pending = self.successor.take();
-        self.silence = Silence::begin(&self.core);
-        self.pending.is_some()
-    }
-
-    /// Gives up the silent engine for its successor, which has accepted the request.
-    pub(super) fn hand_over(&mut self) {
-        self.give_up_open(SendFault::Silent);
-        self.give_up_pending();
-        self.promote();
-    }
-
-    /// Looks for an engine that may take over, if the one that runs the stream is silent for too long.
-    pub(super) fn seek_successor(&mut self) {
-        let now = self.core.clock.now();
-        if self.silence_end().is_none_or(|end| now < end) {
-            return;
-        }
-        if !self.silence.is_noticed() {
-            self.note_silence(now);
-        }
-        self.silence.notice(now);
-        self.begin_successor();
-    }
-
-    fn begin_successor(&mut self) {
-        let rerun = self.inputs_gone || self.results.released();
-        self.successor = Some(self.attempt(rerun));
-    }
-
-    /// Drops the successor: the engine before it goes on.
-    pub(super) fn withdraw_successor(&mut self) {
-        let Some(attempt) = self.successor.take() else { return };
-        let progress = attempt.progress();
-        self.count(&progress);
-        match (progress.written, progress.link) {
-            (Some(written), Some(link)) => self.note_dropped(&link, written),
-            // The stages have not been run again for anybody.
-            _ if attempt.rerun => self.stages_rerun = false,
-            _ => {}
-        }
-    }
-
-    fn note_dropped(&self, link: &Link, written: Ms) {
-        note!(
-            logs::Event::AttemptDropped,
-            request = %self.call.head.id,
-            route = %self.call.route.name,
-            target = link.name(),
-            open_ms = (self.core.clock.now() - written).0
-        );
-        self.core.metrics.sent(&self.call.route.name, "dropped");
-    }
-
     /// Counts an attempt that is dropped.
-    fn count(&mut self, progress: &Progress) {
+    pub(super) fn count(&mut self, progress: &Progress) {
         let written = u32::from(progress.written.is_some());
         self.tried.extend(progress.link.clone());
         self.sends += written;
@@ -310,7 +265,7 @@
     }
 
     /// Drops the attempt at an engine that does not answer.
-    fn give_up_pending(&mut self) {
+    pub(super) fn give_up_pending(&mut self) {
         let Some(attempt) = self.pending.take() else { return };
         let progress = attempt.progress();
         self.count(&progress);
@@ -321,20 +276,6 @@
         }
     }
 
-    fn note_silence(&self, now: Ms) {
-        let link = self.open.as_ref().map(|open| open.link.clone());
-        let link = link.or_else(|| self.pending.as_ref()?.progress().link);
-        note!(
-            logs::Event::EngineSilent,
-            request = %self.call.head.id,
-            target = link.as_ref().map(|link| link.name()),
-            begun = self.open.is_some(),
-            last_event = self.events.last(),
-            silent_ms = self.silence.length(now).0,
-            left_ms = self.call.left(now).0
-        );
-    }
-
     /// Logs and counts a failed send, or a stream that broke, sent at `sent`. `answering` is the time since the
     /// engine began to answer; none if it had not.
     fn record_failure(&self, link: &Link, fault: SendFault, sent: Ms, answering: Option<Ms>) {
