--- a/crates/edge/src/accept.rs
+++ b/crates/edge/src/accept.rs
@@ -42,8 +42,8 @@
 const MIN_HEAD_BYTES: usize = 8_192;
 /// Time that a connection being closed for idleness has to flush its last bytes.
 const CLOSE_TIMEOUT: Ms = Ms::secs(1);
-/// A TCP stream that reports reads and flushes to the connection's [`Activity`], and lingers at its
-/// end if a request's body is unread.
+/// A TCP stream that reports reads, writes and flushes to the connection's [`Activity`]. If a
+/// request's body is unread at its end, it discards what still arrives, see [`Linger`].
 struct MonitoredStream {
     tcp: TcpStream,
     activity: Arc<Activity>,
@@ -222,7 +222,8 @@
     }
 }
 
-/// Completes when the connection has been idle, or a request head incomplete, for too long.
+/// Completes when the connection has been idle, a request head incomplete, or a complete response
+/// not read by the caller, for too long.
 async fn timed_out(core: &Core, activity: &Activity) -> Timeout {
     loop {
         let limits = core.limits();
--- a/crates/edge/src/activity.rs
+++ b/crates/edge/src/activity.rs
@@ -41,7 +41,7 @@
     pub(crate) phase: Phase,
 }
 
-/// The time-out by which a connection without an open request is closed.
+/// The time-out by which a connection is closed while no response is being produced.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Timeout {
     /// It was idle for too long.
@@ -70,7 +70,8 @@
 }
 
 struct State {
-    /// Number of responses whose body is still produced, and of bodies that are being discarded.
+    /// Number of requests whose response is not yet produced to its end, and of request bodies that
+    /// are being discarded.
     open: u64,
     /// Whether bytes of a response may wait for the caller to read.
     unflushed: bool,
@@ -261,8 +262,8 @@
     }
 
     /// Time until the connection has to be checked again; zero when a time-out has passed. While a
-    /// response is produced no time-out runs, so that is `head_timeout` from now. A caller goes on under
-    /// the idle limit that it was told, also if `idle_timeout` is shorter by now.
+    /// request is handled or its body discarded, no time-out runs, so that is `head_timeout` from
+    /// now. The idle limit that the caller was told holds even if `idle_timeout` is now shorter.
     pub(crate) fn remaining(&self, idle_timeout: Ms, head_timeout: Ms) -> Ms {
         let state = self.state();
         let end = match state.head_since {
--- a/crates/edge/src/connection_end.rs
+++ b/crates/edge/src/connection_end.rs
@@ -70,8 +70,8 @@
         matches!(self, Self::Caller | Self::Idle | Self::Stopping | Self::Announced)
     }
 
-    /// Counts the end and, if it was brought about by this host, logs it where it cost a request
-    /// its answer or isn't plain.
+    /// Counts the end. Logs it if a request lost its answer and the caller did not end the
+    /// connection itself, or if the end isn't plain.
     pub(crate) fn record(self, core: &Core, activity: &Activity) {
         core.metrics.caller_connection_closed(self.name());
         let seen = activity.summary();
@@ -97,7 +97,7 @@
         }
     }
 
-    /// The limit that applied, ms.
+    /// The configured limit that was exceeded, ms; none if the end has no configured limit.
     fn limit_ms(self, core: &Core, seen: &Summary) -> Option<u64> {
         match self {
             Self::Idle => Some(core.limits().idle_timeout.max(seen.idle_limit).0),
--- a/crates/edge/src/plain/second.rs
+++ b/crates/edge/src/plain/second.rs
@@ -28,7 +28,8 @@
 const ATTEMPT_TIMEOUT: (u64, u64) = (3, 2);
 /// Interval between searches for a second target.
 const SEARCH_INTERVAL: Ms = Ms(50);
-/// The same after the queue for connections was too long. Each such search leaves a line.
+/// Shortest extra wait after a search that found the queue for connections too long. Each such
+/// search writes a log line, so they are made less often.
 const MIN_CONNECTION_WAIT: Ms = Ms(250);
 
 /// Time within which an answer on a new connection may overtake those on others.
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -1,9 +1,9 @@
 //! Relays a stream to its caller, across all engines that run the request in turn.
 //!
-//! A sound engine may be silent for a second or so and go on. So an engine is never given up for its
-//! silence alone: it is kept until another one, its successor, has begun to answer or has held the
-//! request for a moment without rejecting it. If no other may go on, or it is rejected everywhere, the stream stays where it is
-//! while the caller's time lasts.
+//! A sound engine may be silent for a second or so and go on. So a silent engine is kept until
+//! another one, its successor, has begun to answer, or has had the request for
+//! `silence::ACCEPT_TIME` without rejecting it. If no other engine may go on, or all reject the
+//! request, the stream stays at its engine until the deadline.
 
 mod attempt;
 mod forward;
--- a/crates/edge/src/relay/outcome.rs
+++ b/crates/edge/src/relay/outcome.rs
@@ -1,4 +1,4 @@
-//! What the end of an attempt means for its stream, and what is given up for what.
+//! Handles the end of an attempt, and gives up engines.
 
 use base::Ms;
 use hyper::Response;
@@ -39,8 +39,8 @@
 }
 
 impl Relay {
-    /// The end of the attempt that nobody streams beside. Returns what the caller gets, if that is
-    /// decided.
+    /// Handles the end of the attempt in `pending`, while no engine streams. Returns the next step
+    /// if that is decided.
     pub(super) async fn attempt_ended(&mut self, ended: Ended) -> Option<Step> {
         self.pending = None;
         let verdict = self.judge(ended);
@@ -276,8 +276,8 @@
         }
     }
 
-    /// Logs and counts a failed send, or a stream that broke, sent at `sent`. `answering` is the time since the
-    /// engine began to answer; none if it had not.
+    /// Logs and counts a failed send, or a stream that failed, of a request sent at `sent`.
+    /// `answering` is the time since the engine began to answer; none if it had not.
     fn record_failure(&self, link: &Link, fault: SendFault, sent: Ms, answering: Option<Ms>) {
         note!(
             logs::Event::AttemptFailed,
--- a/crates/edge/src/relay/silence.rs
+++ b/crates/edge/src/relay/silence.rs
@@ -19,7 +19,8 @@
 /// takes some tens of ms. Engines must not work on the same stream for longer than that.
 const ACCEPT_TIME: Ms = Ms(300);
 
-/// The silence of an engine. Time for which this host did not run isn't part of it.
+/// The silence of an engine. Time for which this host did not run extends its first limit, at most
+/// to twice the limit.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct Silence {
     since: Ms,
--- a/crates/sched/src/health.rs
+++ b/crates/sched/src/health.rs
@@ -70,7 +70,8 @@
 /// A span in which a target answers nothing.
 #[derive(Clone, Copy, Debug)]
 struct Silence {
-    /// When the first request without an answer was sent, or the last answer came after that.
+    /// When the first request without an answer was sent, or the last answer before the silence
+    /// came, whichever is later.
     since: Ms,
     /// When a request was last found to be unanswered.
     seen: Ms,
@@ -144,7 +145,8 @@
         }
     }
 
-    /// The same for a request that was given up.
+    /// Like [`Self::unanswered`], for a request that was given up. It counts as a failure unless the
+    /// target is down, which the caller records.
     pub fn given_up(&mut self, now: Ms, sent: Ms) -> Unanswered {
         let unanswered = self.unanswered(now, sent);
         if unanswered != Unanswered::Down {
