Log the key of a failed attempt's request, and the ends that are counted

Cause: line 303 named no key, so repeats of one request could not be put together, and nothing said which ends were counted by what evidence. Change: 303 has the key; 347 names the target, the evidence and the keys.

--- a/crates/edge/src/plain.rs
+++ b/crates/edge/src/plain.rs
@@ -269,6 +269,12 @@
     let incarnation = link.incarnation();
     let is_new = core.poison().record(now, call.fingerprint, &incarnation);
     if is_new {
+        note!(
+            logs::Event::EndCounted,
+            target = %incarnation,
+            evidence = "broken",
+            keys = format!("{:x}", call.fingerprint)
+        );
         core.members.queue_crash(call.fingerprint, &incarnation);
     }
 }
--- a/crates/edge/src/plain/attempt.rs
+++ b/crates/edge/src/plain/attempt.rs
@@ -129,6 +129,7 @@
     note!(
         logs::Event::AttemptFailed,
         request = %call.head.id,
+        key = format!("{:x}", call.fingerprint),
         target = link.name(),
         fault = fault.name(),
         left_ms = call.left(core.clock.now()).0
--- a/crates/edge/src/relay/outcome.rs
+++ b/crates/edge/src/relay/outcome.rs
@@ -282,6 +282,7 @@
         note!(
             logs::Event::AttemptFailed,
             request = %self.call.head.id,
+            key = format!("{:x}", self.call.fingerprint),
             target = link.name(),
             fault = fault.name(),
             last_event = self.events.last(),
--- a/crates/logs/src/event.rs
+++ b/crates/logs/src/event.rs
@@ -78,7 +78,7 @@
     AnswerMismatch = 300, Warn, "An answer belonged to another request, stage or attempt and was dropped with its connection.";
     ConnectionSilent = 301, Warn, "A connection to a target stopped responding while the target answers on a new one.";
     TargetDead = 302, Warn, "A target does not respond on new connections either.";
-    AttemptFailed = 303, Warn, "An attempt at a target ended without a result: the shared parts of its prompt, and for how long the target had been answering.";
+    AttemptFailed = 303, Warn, "An attempt at a target ended without a result: the key of its request, the shared parts of its prompt, and for how long the target had been answering.";
     PieceDropped = 304, Info, "A late or duplicate piece of a stream was dropped.";
     TargetLeaving = 305, Info, "A target is leaving; it gets no new requests.";
     TargetBack = 306, Info, "A target that was leaving has come back.";
@@ -122,6 +122,7 @@
     StagesCut = 344, Warn, "The grace period of a stopping host ended while it composed stages of other hosts, which have them run again.";
     SecondAttempt = 345, Info, "A target has not answered a request that may be repeated; it is also sent to another one, and the first attempt stays open.";
     AttemptDropped = 346, Info, "An attempt without an answer was dropped because another target has answered the request, or goes on with it.";
+    EndCounted = 347, Warn, "A target is taken to have ended: the evidence, and the keys of the requests that may be the cause.";
     JournalUnavailable = 400, Warn, "A key could not be recorded; its request was refused.";
     FinishRetried = 401, Warn, "The outcome of a keyed request could not be recorded yet; the write is retried.";
     FinishLost = 402, Error, "The outcome of a keyed request could not be recorded; re-sends are answered as unknown.";
