--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -6,6 +6,7 @@
 mod hash;
 mod id;
 mod pause;
+mod suspect;
 
 pub use clock::{BootClock, Clock, ManualClock, Ms, SystemClock};
 pub use hash::{hash_parts, rendezvous};
@@ -14,3 +15,4 @@
     PoolId, RegionId, RequestId, StageId, TargetId, Version, WorkspaceId,
 };
 pub use pause::{PauseMeter, TURN_INTERVAL};
+pub use suspect::Suspect;
--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -4,15 +4,15 @@
 //! [`Registry`] holds the targets' registrations, and [`ChangeLog`] records how they changed, for
 //! the hosts that follow this one, by [`Position`] in the store's history. [`Freshness`] decides whether a host may still accept API keys,
 //! by the age of its last confirmed read. [`Builds`] lists the software versions at which streams may
-//! have begun, and [`PoisonParts`] the parts of prompts that end engines. Nothing here does I/O or reads a clock.
+//! have begun, and [`Quarantine`] what ends targets. Nothing here does I/O or reads a clock.
 
 mod builds;
 mod entry;
 mod freshness;
 mod log;
 mod model;
-mod poison_parts;
 mod position;
+mod quarantine;
 mod registry;
 mod residency;
 
@@ -24,7 +24,7 @@
     Backend, Batch, Catalog, CatalogError, Engine, Limits, MAX_RANK, RetrySafety, Route, Service,
     Stage, Warmup, Workspace,
 };
-pub use poison_parts::{Finding, MAX_POISON_PARTS, PartChanges, PoisonParts};
 pub use position::Position;
+pub use quarantine::{Finding, MAX_QUARANTINED, Quarantine, QuarantineChanges};
 pub use registry::{LAPSE_GRACE, Observation, Registry, RegistryEvent, Target};
 pub use residency::Residency;
--- a/crates/edge/src/composer/call.rs
+++ b/crates/edge/src/composer/call.rs
@@ -4,12 +4,15 @@
 use catalog::Residency;
 use logs::note;
 use sched::batch::{CallEnd, CallId, Event, Piece, PieceEnd};
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use super::{Composer, MAX_ANSWER_BYTES, NO_REQUEST_ID, Service, lock};
+use crate::diagnose;
 use crate::dialect::StageCall;
+use crate::exposures::Exposed;
 use crate::gate::BlockReason;
-use crate::send::{IfClosed, SendFault, Via, Wait, send};
+use crate::send::{IfClosed, SendFault, Sending, Via, Wait, send};
 
 /// Pause after a call that this host may not send now.
 const BLOCKED_PAUSE: Ms = Ms(60);
@@ -68,17 +71,14 @@
         let anywhere = Residency::Anywhere;
         let residency = pieces.iter().map(|p| &p.residency);
         let residency = residency.fold(anywhere, |all, piece| all.intersect(piece));
-        let sent = send(
-            &self.core,
-            &link,
-            &residency,
-            NO_REQUEST_ID,
-            wait,
-            Via::Pool(IfClosed::Reopen),
-            build,
-        )
-        .await;
-        let answered = match sent {
+        let keys: Vec<Option<u64>> = pieces.iter().map(|p| p.key).collect();
+        let exposed = exposed(&keys);
+        let request = Sending { id: NO_REQUEST_ID, exposed: &exposed };
+        let begun = self.core.clock.now();
+        let sent =
+            send(&self.core, &link, &residency, request, wait, Via::Pool(IfClosed::Reopen), build)
+                .await;
+        let mut answered = match sent {
             Ok(answered) => answered,
             Err(SendFault::Blocked(BlockReason::Limited(rest) | BlockReason::Paused(rest))) => {
                 return CallEnd::Deferred(rest);
@@ -95,14 +95,30 @@
         let read = link::read(answered.body, MAX_ANSWER_BYTES);
         let body = match tokio::time::timeout(timeout.duration(), read).await {
             Ok(Ok(body)) => body,
-            Ok(Err(_)) => return CallEnd::Broken,
+            Ok(Err(_)) => {
+                answered.lease.broken();
+                return CallEnd::Broken;
+            }
             Err(_) => return CallEnd::Silent,
         };
         answered.lease.close();
-        self.core.dialect.parse_stage_response(answered.parts.status, &answered.head, &body)
+        let end =
+            self.core.dialect.parse_stage_response(answered.parts.status, &answered.head, &body);
+        if let CallEnd::Done(ends) = &end {
+            let made = keys.iter().zip(ends).filter(|(_, end)| matches!(end, PieceEnd::Made(_)));
+            made.filter_map(|(key, _)| *key)
+                .for_each(|key| diagnose::request_is_sound(&self.core, key, begun));
+        }
+        end
     }
 }
 
+/// What the target of a call is exposed to: each request once.
+fn exposed(keys: &[Option<u64>]) -> Vec<Exposed> {
+    let keys: BTreeSet<u64> = keys.iter().flatten().copied().collect();
+    keys.into_iter().map(|key| Exposed { request: Some(key), ..Exposed::default() }).collect()
+}
+
 /// What a target lacked that did nothing of a call because it is full: `slot` or `room`.
 fn lack(end: &CallEnd) -> Option<&'static str> {
     match end {
--- a/crates/edge/src/composer/release.rs
+++ b/crates/edge/src/composer/release.rs
@@ -11,7 +11,7 @@
 
 use super::{Composer, MAX_ANSWER_BYTES, NO_REQUEST_ID, Service, lock};
 use crate::results;
-use crate::send::{IfClosed, Via, Wait, send};
+use crate::send::{IfClosed, Sending, Via, Wait, send};
 
 /// How long freed results are collected for one call: a call for each would cost the target more
 /// than having the room back a few milliseconds sooner is worth.
@@ -86,7 +86,7 @@
                 &self.core,
                 &link,
                 &Residency::Anywhere,
-                NO_REQUEST_ID,
+                Sending { id: NO_REQUEST_ID, exposed: &[] },
                 wait,
                 Via::Pool(IfClosed::Reopen),
                 build,
--- a/crates/edge/src/composer/report.rs
+++ b/crates/edge/src/composer/report.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 
 use super::{Composer, MAX_ANSWER_BYTES, NO_REQUEST_ID, Service, lock};
-use crate::send::{IfClosed, Via, Wait, send};
+use crate::send::{IfClosed, Sending, Via, Wait, send};
 
 /// How long to wait for a report. Round trips take up to about 40 ms; a report that comes later is
 /// out of date.
@@ -34,7 +34,7 @@
             &self.core,
             &link,
             &anywhere,
-            NO_REQUEST_ID,
+            Sending { id: NO_REQUEST_ID, exposed: &[] },
             wait,
             Via::Pool(IfClosed::Reopen),
             build,
--- a/crates/edge/src/composer/serve.rs
+++ b/crates/edge/src/composer/serve.rs
@@ -13,7 +13,7 @@
 
 use super::Composer;
 use super::holders::holder;
-use crate::{diagnose, dial, notices, notify, origin, shared};
+use crate::{diagnose, dial, notices, origin, shared};
 
 /// Handler of other hosts' calls.
 pub(crate) struct StageService(pub(crate) Arc<Composer>);
@@ -38,7 +38,6 @@
     }
 
     async fn news(&self, news: HostNews) {
-        news.crashes.iter().for_each(|crash| notify::receive_crash(&self.0.core, crash));
         for prompt in news.prompts {
             self.0.core.record_remote_prompt(&prompt.target, Ms(prompt.time_ms));
         }
@@ -46,8 +45,8 @@
         if !news.ends.is_empty() {
             diagnose::receive_ends(&self.0.core, &news.ends);
         }
-        for diagnosis in news.diagnoses {
-            diagnose::receive_diagnosis(&self.0.core, diagnosis);
+        for found in news.found {
+            diagnose::receive_found(&self.0.core, found);
         }
         news.origins.into_iter().for_each(|begun| origin::told(&self.0.core, begun));
         let mut subjects = self.0.core.subjects();
--- a/crates/edge/src/composer/submission.rs
+++ b/crates/edge/src/composer/submission.rs
@@ -87,6 +87,7 @@
         reads: work.reads,
         home: home.clone(),
         residency: residency.clone(),
+        key: work.request_key,
     };
     (0..work.pieces).map(piece).collect()
 }
--- a/crates/edge/src/core.rs
+++ b/crates/edge/src/core.rs
@@ -3,20 +3,19 @@
 mod builds;
 mod eras;
 mod known;
-mod parts;
 mod proof;
+mod quarantine;
 mod silence;
 
 use arc_swap::{ArcSwap, ArcSwapOption, Guard};
 use base::{Clock, Ms, PauseMeter, PoolId};
-use catalog::{Builds, Catalog, Limits, PoisonParts, Residency};
+use catalog::{Builds, Catalog, Limits, Quarantine, Residency};
 use logs::note;
 use sched::budget::{Allowance, Past, RetryBudget};
 use sched::detour::Detours;
 use sched::directory::Directory as SubjectDirectory;
 use sched::estimate::Estimate;
 use sched::origins::Origins;
-use sched::poison::Poison;
 use sched::reach::Reach;
 use sched::sample::Sampler;
 use sched::sound::SoundParts;
@@ -33,6 +32,7 @@
 use crate::connections::Queues;
 use crate::dialect::Dialect;
 use crate::directory::{Declared, Directory};
+use crate::ended::Suspicions;
 use crate::gate::Gate;
 use crate::links::{Link, Links};
 use crate::liveness::LivenessProbes;
@@ -69,14 +69,16 @@
     links: ArcSwap<Links>,
     store: Mutex<StoreView>,
     budget: Mutex<RetryBudget>,
-    poison: Mutex<Poison>,
-    poison_parts: Mutex<PoisonParts>,
+    quarantine: Mutex<Quarantine>,
     sound_parts: Mutex<SoundParts>,
+    sound_requests: Mutex<SoundParts>,
     ends: Mutex<Ends>,
-    /// Notifies that there are new ends of engines.
+    /// Targets that may have ended under requests.
+    pub(crate) suspicions: Suspicions,
+    /// Notifies that there are new ends of targets.
     pub(crate) ends_due: Notify,
-    /// Notifies of parts of prompts that are refused from now on.
-    parts_found: watch::Sender<()>,
+    /// Notifies of parts and requests that are refused from now on.
+    suspects_found: watch::Sender<()>,
     estimate: Mutex<Estimate>,
     subjects: Mutex<SubjectDirectory>,
     builds: Mutex<Builds>,
@@ -157,12 +159,13 @@
             compressed: CompressedConfig::default(),
             links: ArcSwap::from_pointee(Links::default()),
             store: Mutex::new(StoreView::new(revoke)),
-            poison: Mutex::default(),
-            poison_parts: Mutex::default(),
+            quarantine: Mutex::default(),
             sound_parts: Mutex::default(),
+            sound_requests: Mutex::default(),
+            suspicions: Suspicions::default(),
             ends: Mutex::default(),
             ends_due: Notify::new(),
-            parts_found: watch::Sender::new(()),
+            suspects_found: watch::Sender::new(()),
             estimate: Mutex::default(),
             subjects: Mutex::default(),
             builds: Mutex::default(),
@@ -223,10 +226,6 @@
         granted
     }
 
-    pub(crate) fn poison(&self) -> MutexGuard<'_, Poison> {
-        lock(&self.poison)
-    }
-
     pub(crate) fn estimate(&self) -> MutexGuard<'_, Estimate> {
         lock(&self.estimate)
     }
@@ -328,7 +327,7 @@
     /// end engines are known, there are targets, and the host isn't stopping.
     pub(crate) fn ready(&self) -> bool {
         let current = self.version().is_some() && self.keys_usable();
-        let known = self.knows_evacuations() && self.knows_builds() && self.knows_parts();
+        let known = self.knows_evacuations() && self.knows_builds() && self.knows_quarantine();
         current && known && !self.stopping() && self.links().ready() > 0
     }
 
--- a/crates/edge/src/diagnose.rs
+++ b/crates/edge/src/diagnose.rs
@@ -1,10 +1,10 @@
-//! Finds the parts of prompts that end engines, together with the other hosts. See
+//! Finds the parts of prompts and the requests that end targets, together with the other hosts. See
 //! [`sched::suspects`].
 //!
-//! Each host reports the ends of engines that it sees to a few hosts, the collectors. The first of
-//! these ask all hosts about the parts that are suspected, and tell all of a part that is quarantined.
+//! Each host reports the ends of targets that are proved to it to a few hosts, the collectors. The
+//! first of these ask all hosts about what is suspected, and tell all of what is quarantined.
 
-use base::{Ms, TargetId};
+use base::{Ms, Suspect, TargetId};
 use logs::note;
 use peer::ViewHost;
 use sched::suspects::{
@@ -13,12 +13,11 @@
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 use tokio::sync::mpsc::UnboundedReceiver;
-use wire::{
-    HostNews, PartAnswer, PartDiagnosis, PartQuery, PromptParts, SeenPart, SuspectedPart, TargetEnd,
-};
+use wire::suspect::Kind;
+use wire::{AskedSuspect, HostNews, PartAnswer, PartQuery, SeenSuspect, SuspectFound, TargetEnd};
 
 use crate::core::Core;
-use crate::links::Link;
+use crate::exposures::Exposure;
 use crate::members::MAX_PARALLEL_CALLS;
 use crate::notify::collect;
 use crate::request::Call;
@@ -31,63 +30,50 @@
 /// Time that the host whose turn it is gets before the next one looks too.
 const TURN_TIME: Ms = Ms(1_000);
 
-/// The end of an engine during a request, to be reported.
-pub(crate) struct EngineEnd {
+/// A request that a target may have begun to run when it ended, to be reported.
+pub(crate) struct Ended {
     target: TargetId,
-    /// The shared parts of the prompt, in order.
-    parts: Vec<u64>,
+    request: Option<u64>,
+    /// The shared parts of its prompt, in order.
+    parts: Arc<[u64]>,
     sent: Ms,
     at: Ms,
 }
 
-/// Records that a target ended, or seems to have, while it had a request that was sent at `sent` and
-/// that it had been answering for `answering`; none if it had not begun.
-pub(crate) fn engine_ended(core: &Core, call: &Call, link: &Link, sent: Ms, answering: Option<Ms>) {
-    // A full engine resets connections too, before it answers: that is no end.
-    if answering.is_some_and(|time| time < PROBATION) {
-        report(core, link, sent, shared_parts(call));
-    }
-    target_gone(core, link);
-}
-
-/// Records that a target can't be reached any more: answers that seemed to be complete, without proof
-/// of it, may have been broken off by its end.
-pub(crate) fn target_gone(core: &Core, link: &Link) {
-    for (ended, parts) in link.take_unproved(core.clock.now()) {
-        report(core, link, ended, parts);
-    }
+/// Reports a request that was at a target which is proved to have ended.
+pub(crate) fn report(core: &Core, target: &TargetId, exposure: Exposure, now: Ms) {
+    let Exposure { exposed, sent, begun, left, .. } = exposure;
+    let at = left.map_or(now, |(at, _)| at);
+    // An engine that a part ends is gone soon after it has begun to answer.
+    let suspected = begun.is_some_and(|begun| at - begun < PROBATION);
+    let parts = if suspected { exposed.parts } else { Arc::default() };
+    let ended = Ended { target: target.clone(), request: exposed.request, parts, sent, at };
+    core.members.queue_end(ended);
 }
 
 /// Records an answer that goes on well, or is complete, and began at `begun`.
 pub(crate) fn answer_is_sound(core: &Core, call: &Call, begun: Ms) {
-    core.sound_parts().record(begun, call.head.shared_parts().iter().map(|part| part.id));
+    core.sound_parts().record(begun, call.suspects.parts().iter().copied());
 }
 
-/// The shared parts of a request's prompt, in order.
-pub(crate) fn shared_parts(call: &Call) -> Vec<u64> {
-    call.head.shared_parts().iter().map(|part| part.id).collect()
-}
-
-fn report(core: &Core, link: &Link, sent: Ms, parts: Vec<u64>) {
-    if !parts.is_empty() {
-        let (target, at) = (link.incarnation(), core.clock.now());
-        core.members.queue_end(EngineEnd { target, parts, sent, at });
-    }
+/// Records that a request which was sent at `sent` was answered whole, with a success.
+pub(crate) fn request_is_sound(core: &Core, key: u64, sent: Ms) {
+    core.sound_requests().record(sent, std::iter::once(key));
 }
 
 /// Tells the collectors of the ends that this host has seen.
-pub(crate) async fn ends(core: Arc<Core>, mut queue: UnboundedReceiver<EngineEnd>) {
+pub(crate) async fn ends(core: Arc<Core>, mut queue: UnboundedReceiver<Ended>) {
     while let Some(seen) = collect(&mut queue, END_WINDOW).await {
-        let mut by_target: BTreeMap<TargetId, Vec<PromptParts>> = BTreeMap::new();
+        let mut by_target: BTreeMap<TargetId, Vec<wire::BrokenRequest>> = BTreeMap::new();
         let now = core.clock.now();
-        for EngineEnd { target, parts, sent, at } in seen {
+        for Ended { target, request, parts, sent, at } in seen {
             let (sent_ms, broken_ms) = ((now - sent).0, (now - at).0);
-            let prompt = PromptParts { parts, sent_ms, broken_ms };
-            by_target.entry(target).or_default().push(prompt);
+            let broken = wire::BrokenRequest { parts: parts.to_vec(), sent_ms, broken_ms, request };
+            by_target.entry(target).or_default().push(broken);
         }
-        let to_wire = |(target, prompts): (TargetId, Vec<PromptParts>)| TargetEnd {
+        let to_wire = |(target, requests): (TargetId, Vec<wire::BrokenRequest>)| TargetEnd {
             target: target.as_str().to_owned(),
-            prompts,
+            requests,
         };
         let ends: Vec<TargetEnd> = by_target.into_iter().map(to_wire).collect();
         receive_ends(&core, &ends);
@@ -110,17 +96,18 @@
     let mut known = core.ends();
     for end in ends {
         let target = TargetId::from(end.target.as_str());
-        for prompt in &end.prompts {
-            let (sent, at) = (now - Ms(prompt.sent_ms), now - Ms(prompt.broken_ms));
-            known.record(&BrokenRequest { target: &target, parts: &prompt.parts, sent, at });
+        for broken in &end.requests {
+            let (sent, at) = (now - Ms(broken.sent_ms), now - Ms(broken.broken_ms));
+            let (request, parts) = (broken.request, broken.parts.as_slice());
+            known.record(&BrokenRequest { target: &target, request, parts, sent, at });
         }
     }
     drop(known);
     core.ends_due.notify_one();
 }
 
-/// Looks for the part that is the cause, whenever there are new ends or those of one moment can be
-/// judged, and it is this host's turn.
+/// Looks for the cause, whenever there are new ends or those before can be judged again, and it is
+/// this host's turn.
 pub(crate) async fn follow(core: Arc<Core>) {
     let mut looked = Ms::ZERO;
     loop {
@@ -133,14 +120,17 @@
         if turn > 0 {
             tokio::time::sleep(TURN_TIME.scale(turn, 1).duration()).await;
         }
-        // The ends that one part leaves unexplained may lead to another.
+        // The ends that one cause leaves unexplained may lead to another.
         while diagnose(&core).await {}
     }
 }
 
-/// Waits for new ends, or until those of one moment can be judged.
+/// Waits for new ends, or until those before can be judged again.
 async fn wait_for_look(core: &Core, looked: Ms) {
-    let due = core.ends().next_look(looked);
+    let due = {
+        let ends = core.ends();
+        ends.next_look(looked).into_iter().chain(ends.next_request_look(looked)).min()
+    };
     let wait = due.map_or(Ms::ZERO, |at| at - core.clock.now());
     tokio::select! {
         () = core.ends_due.notified() => {}
@@ -156,67 +146,82 @@
     Some(place as u64)
 }
 
-/// Quarantines one part, if there is enough evidence. Returns whether there was.
+/// Quarantines what there is enough evidence against. Returns whether there was anything.
 async fn diagnose(core: &Arc<Core>) -> bool {
     let candidates = core.ends().candidates();
     if candidates.is_empty() {
         return false;
     }
     let told = ask_all(core, &candidates).await;
-    let diagnosis = find(&core.ends(), &told, core.clock.now());
-    let Some(diagnosis) = diagnosis else {
+    let found = find(&core.ends(), &told, core.clock.now());
+    if found.is_empty() {
         dismiss(core, &told);
         return false;
+    }
+    for diagnosis in &found {
+        let others = told.get(&diagnosis.suspect).map_or(0, |told| told.others);
+        core.note_diagnosis(diagnosis, others);
+        core.put_in_quarantine(diagnosis.suspect);
+    }
+    let to_wire = |diagnosis: Diagnosis| SuspectFound {
+        suspect: Some(to_wire(diagnosis.suspect)),
+        targets: diagnosis.targets.iter().map(|target| target.as_str().to_owned()).collect(),
     };
-    let others = told.get(&diagnosis.part).map_or(0, |told| told.others);
-    core.note_diagnosis(&diagnosis, others);
-    core.quarantine(diagnosis.part, &diagnosis.targets);
-    let targets = diagnosis.targets.iter().map(|target| target.as_str().to_owned()).collect();
-    tell_all(core, PartDiagnosis { part: diagnosis.part, targets }).await;
+    tell_all(core, found.into_iter().map(to_wire).collect()).await;
     true
 }
 
-fn find(ends: &Ends, told: &HashMap<u64, Observed>, now: Ms) -> Option<Diagnosis> {
-    ends.diagnose(told).or_else(|| ends.diagnose_moment(told, now))
+/// Requests come first: a request that ends targets has parts too, which end none elsewhere.
+fn find(ends: &Ends, told: &HashMap<Suspect, Observed>, now: Ms) -> Vec<Diagnosis> {
+    let requests = ends.diagnose_requests(told);
+    match requests.is_empty() {
+        true => {
+            ends.diagnose(told).or_else(|| ends.diagnose_moment(told, now)).into_iter().collect()
+        }
+        false => requests,
+    }
 }
 
 /// Drops the evidence that sound answers refute.
-fn dismiss(core: &Core, told: &HashMap<u64, Observed>) {
+fn dismiss(core: &Core, told: &HashMap<Suspect, Observed>) {
     let mut ends = core.ends();
-    for (part, told) in told {
-        told.sound.into_iter().for_each(|sound| ends.cleared(*part, sound));
+    for (suspect, told) in told {
+        told.sound.into_iter().for_each(|sound| ends.cleared(*suspect, sound));
     }
 }
 
-async fn tell_all(core: &Core, diagnosis: PartDiagnosis) {
-    core.members.notify_all(HostNews { diagnoses: vec![diagnosis], ..HostNews::default() }).await;
+async fn tell_all(core: &Core, found: Vec<SuspectFound>) {
+    core.members.notify_all(HostNews { found, ..HostNews::default() }).await;
 }
 
 /// Applies what another host has found. A host whose turn it may be passes it on: it may reach hosts that the other one
 /// does not.
-pub(crate) fn receive_diagnosis(core: &Arc<Core>, diagnosis: PartDiagnosis) {
-    let targets: Vec<TargetId> = diagnosis.targets.iter().map(|t| t.as_str().into()).collect();
-    let is_new = core.quarantine(diagnosis.part, &targets);
+pub(crate) fn receive_found(core: &Arc<Core>, found: SuspectFound) {
+    let Some(suspect) = found.suspect.as_ref().and_then(from_wire) else { return };
+    let is_new = core.put_in_quarantine(suspect);
     if is_new && turn(core).is_some() {
         let core = core.clone();
-        tokio::spawn(async move { tell_all(&core, diagnosis).await });
+        tokio::spawn(async move { tell_all(&core, vec![found]).await });
     }
 }
 
-/// Asks all hosts about parts.
-async fn ask_all(core: &Arc<Core>, candidates: &[Candidate]) -> HashMap<u64, Observed> {
+/// Asks all hosts about suspects.
+async fn ask_all(core: &Arc<Core>, candidates: &[Candidate]) -> HashMap<Suspect, Observed> {
     let now = core.clock.now();
-    let suspect = |c: &Candidate| SuspectedPart { part: c.part, since_ms: (now - c.since).0 };
-    let query = PartQuery { parts: candidates.iter().map(suspect).collect() };
+    let asked = |c: &Candidate| AskedSuspect {
+        suspect: Some(to_wire(c.suspect)),
+        since_ms: (now - c.since).0,
+    };
+    let query = PartQuery { suspects: candidates.iter().map(asked).collect() };
     let own = answer(core, &query);
-    let mut told: HashMap<u64, Observed> = HashMap::new();
-    add(&mut told, &query, own, now);
+    let mut told: HashMap<Suspect, Observed> = HashMap::new();
+    add(&mut told, candidates, own, now);
     let hosts = core.members.hosts();
     let others: Vec<&ViewHost> = hosts.iter().filter(|h| !is_me(core, h)).collect();
     for part in others.chunks(MAX_PARALLEL_CALLS) {
         let calls = part.iter().map(|host| ask(core, host, &query));
         let answers = futures::future::join_all(calls).await;
-        answers.into_iter().for_each(|answer| add(&mut told, &query, answer, now));
+        answers.into_iter().for_each(|answer| add(&mut told, candidates, answer, now));
     }
     told
 }
@@ -224,14 +229,19 @@
 async fn ask(core: &Core, host: &ViewHost, query: &PartQuery) -> PartAnswer {
     let answer = core.members.peers().parts(host.address, query.clone()).await;
     answer.unwrap_or_else(|err| {
-        note!(logs::Event::PeerFailed, host = %host.host, call = "parts", why = %err);
+        note!(logs::Event::PeerFailed, host = %host.host, call = "suspects", why = %err);
         PartAnswer::default()
     })
 }
 
-fn add(told: &mut HashMap<u64, Observed>, query: &PartQuery, answer: PartAnswer, now: Ms) {
-    for (suspect, seen) in query.parts.iter().zip(answer.parts) {
-        let sum = told.entry(suspect.part).or_default();
+fn add(
+    told: &mut HashMap<Suspect, Observed>,
+    candidates: &[Candidate],
+    answer: PartAnswer,
+    now: Ms,
+) {
+    for (candidate, seen) in candidates.iter().zip(answer.suspects) {
+        let sum = told.entry(candidate.suspect).or_default();
         sum.sound = sum.sound.max(seen.sound_ms.map(|age| now - Ms(age)));
         sum.others += seen.others;
     }
@@ -240,12 +250,35 @@
 /// Answers what this host has seen.
 pub(crate) fn answer(core: &Core, query: &PartQuery) -> PartAnswer {
     let now = core.clock.now();
-    let sound = core.sound_parts();
-    let seen = |suspect: &SuspectedPart| SeenPart {
-        sound_ms: sound.last(suspect.part).map(|begun| (now - begun).0),
-        others: sound.since(now - Ms(suspect.since_ms)) as u64,
+    let seen = |asked: &AskedSuspect| {
+        let last = match asked.suspect.as_ref().and_then(from_wire) {
+            Some(Suspect::Part(id)) => core.sound_parts().last(id),
+            Some(Suspect::Request(key)) => core.sound_requests().last(key),
+            None => None,
+        };
+        SeenSuspect {
+            sound_ms: last.map(|begun| (now - begun).0),
+            others: core.sound_parts().since(now - Ms(asked.since_ms)) as u64,
+        }
     };
-    PartAnswer { parts: query.parts.iter().map(seen).collect() }
+    PartAnswer { suspects: query.suspects.iter().map(seen).collect() }
+}
+
+/// A suspect as other hosts are told of it.
+pub(crate) fn to_wire(suspect: Suspect) -> wire::Suspect {
+    let kind = match suspect {
+        Suspect::Part(id) => Kind::Part(id),
+        Suspect::Request(key) => Kind::Request(key),
+    };
+    wire::Suspect { kind: Some(kind) }
+}
+
+/// A suspect that another host tells of; none if it is of a kind that this version doesn't know.
+pub(crate) fn from_wire(suspect: &wire::Suspect) -> Option<Suspect> {
+    Some(match suspect.kind? {
+        Kind::Part(id) => Suspect::Part(id),
+        Kind::Request(key) => Suspect::Request(key),
+    })
 }
 
 fn host_name(host: &ViewHost) -> &str {
--- a/crates/edge/src/directory.rs
+++ b/crates/edge/src/directory.rs
@@ -2,7 +2,7 @@
 //! evacuated failure domains.
 
 use async_trait::async_trait;
-use base::{Ms, TargetId};
+use base::{Ms, Suspect, TargetId};
 use bytes::Bytes;
 use catalog::{Build, Catalog, Entry, Position};
 use std::sync::Arc;
@@ -19,8 +19,8 @@
     Evacuations,
     /// Software versions at which streams may have begun: one record for each.
     Builds,
-    /// Parts of prompts that end engines: one record for each.
-    PoisonParts,
+    /// What ends targets: one record for each part of prompts or request.
+    Quarantine,
 }
 
 /// The declarations, parsed and as text.
@@ -48,8 +48,8 @@
         /// Number of the object's last change.
         revision: u64,
     },
-    /// A part of prompts ends engines.
-    PoisonPart(u64),
+    /// A part of prompts or a request ends targets.
+    Quarantined(Suspect),
     /// It can't be parsed; holds the reason, for the log.
     Malformed(String),
 }
@@ -61,10 +61,10 @@
         Some((build, revision))
     }
 
-    /// The part of prompts of such a record.
-    pub(crate) fn poison_part(self) -> Option<u64> {
-        let Self::PoisonPart(part) = self else { return None };
-        Some(part)
+    /// What such a record says ends targets.
+    pub(crate) fn quarantined(self) -> Option<Suspect> {
+        let Self::Quarantined(suspect) = self else { return None };
+        Some(suspect)
     }
 }
 
@@ -164,8 +164,8 @@
     /// Removes a version, unless its object has changed since `revision`.
     async fn remove_build(&self, build: &Build, revision: u64) -> Result<(), DirectoryError>;
 
-    /// Adds a part of prompts that ends engines. Succeeds also if it is listed already.
-    async fn add_part(&self, part: u64) -> Result<(), DirectoryError>;
+    /// Adds what ends targets. Succeeds also if it is listed already.
+    async fn quarantine(&self, suspect: Suspect) -> Result<(), DirectoryError>;
 
     /// Parses declarations whose text another host has read from the store.
     fn declared(&self, text: Bytes) -> Result<Declared, DirectoryError>;
--- a/crates/edge/src/evacuate.rs
+++ b/crates/edge/src/evacuate.rs
@@ -74,7 +74,7 @@
         RecordBody::Catalog(_)
         | RecordBody::Target(_)
         | RecordBody::Build { .. }
-        | RecordBody::PoisonPart(_)
+        | RecordBody::Quarantined(_)
         | RecordBody::Malformed(_) => {
             note!(logs::Event::EntryMalformed, target = %record.name, why = "not an evacuation");
             None
--- a/crates/edge/src/gate.rs
+++ b/crates/edge/src/gate.rs
@@ -28,6 +28,8 @@
     RetryBudget,
     /// No target has the software version that began the stream, or none at which streams may begin.
     OtherBuild,
+    /// It ends targets.
+    Poison,
     /// A part of its prompt ends engines.
     PoisonPart,
     /// No target is in a region that the request may be in.
@@ -55,6 +57,7 @@
             Self::NoTarget => "no_target",
             Self::RetryBudget => "retry_budget",
             Self::OtherBuild => "other_build",
+            Self::Poison => "poison",
             Self::PoisonPart => "poison_part",
             Self::Outside => "outside",
             Self::Evacuated => "evacuated",
--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -23,8 +23,8 @@
 use crate::metrics::Metrics;
 use crate::settings::Settings;
 use crate::{
-    accept, builds, connections, diagnose, evacuate, follow, notify, origin, parts, pause, reload,
-    source,
+    accept, builds, connections, diagnose, ended, evacuate, follow, notify, origin, pause,
+    quarantine, reload, source,
 };
 
 /// Time for which a stopping host still accepts requests. The platform checks readiness every
@@ -138,14 +138,14 @@
             tokio::spawn(follow::targets(core.clone(), directory.clone())),
             tokio::spawn(evacuate::follow(core.clone(), directory.clone())),
             tokio::spawn(builds::follow(core.clone())),
-            tokio::spawn(parts::follow(core.clone())),
+            tokio::spawn(quarantine::follow(core.clone())),
+            tokio::spawn(ended::follow(core.clone())),
             tokio::spawn(diagnose::ends(core.clone(), outbox.ends)),
             tokio::spawn(diagnose::follow(core.clone())),
             tokio::spawn(origin::tell(core.clone())),
             tokio::spawn(source::follow(core.clone(), directory)),
             tokio::spawn(reload::follow(core.clone(), path, changed)),
             tokio::spawn(composer.poll_region_loads()),
-            tokio::spawn(notify::crashes(core.clone(), outbox.crashes)),
             tokio::spawn(notify::prompts(core.clone(), outbox.prompts)),
             tokio::spawn(notify::limits(core.clone(), outbox.limits)),
             tokio::spawn(count_hosts(core.clone())),
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -29,8 +29,10 @@
 mod dialect;
 mod directory;
 mod discard;
+mod ended;
 mod evacuate;
 mod events;
+mod exposures;
 mod follow;
 mod gate;
 mod host;
@@ -42,9 +44,9 @@
 mod notices;
 mod notify;
 mod origin;
-mod parts;
 mod pause;
 mod plain;
+mod quarantine;
 mod read;
 mod refusal;
 mod relay;
@@ -62,6 +64,7 @@
 mod stream;
 mod subjects;
 mod submit;
+mod suspects;
 
 pub use dialect::{
     Dialect, ForwardFields, Load, Notice, PromptPart, RequestHead, RequestHeadError, ResponseHead,
--- a/crates/edge/src/links.rs
+++ b/crates/edge/src/links.rs
@@ -13,6 +13,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use crate::connections::Connections;
+use crate::exposures::Exposures;
 use crate::reports::Reports;
 
 /// Time-out for opening a connection. Round trips take up to about 40 ms; a target that does not
@@ -22,13 +23,6 @@
 const IDLE_TIMEOUT: Ms = Ms::secs(20);
 /// Most idle connections kept to one target.
 const MAX_IDLE: usize = 32;
-/// Time within which an answer on another connection may overtake the end of one.
-const OVERTAKE_TIME: Ms = Ms(200);
-/// Time after the end of an answer without proof within which a target that can't be reached may have
-/// ended with it. After it, the target has been used for something else.
-const UNPROVED_TIME: Ms = Ms::secs(10);
-/// Most such answers that are remembered for a target.
-const MAX_UNPROVED: usize = 64;
 
 /// One incarnation of a target, from its start to its end, as this host sees it.
 pub(crate) struct Link {
@@ -49,9 +43,11 @@
     backlog: Mutex<Backlog>,
     subjects: Mutex<CachedSubjects>,
     warmup: Mutex<WarmupState>,
-    /// Requests whose answers have ended without proof that they were whole: when, and the shared
-    /// parts of their prompts.
-    unproved: Mutex<Vec<(Ms, Vec<u64>)>>,
+    exposures: Mutex<Exposures>,
+    /// When its process started, as last reported; none while nothing is known of the one that runs.
+    started: Mutex<Option<u64>>,
+    /// When it was last checked whether it still runs, ms.
+    checked: AtomicU64,
     /// Until when it may have started again without being registered, since a connection ended, ms.
     restarted: AtomicU64,
     /// Time after a failed connection within which it would register again if it had been
@@ -78,7 +74,6 @@
             PoolConfig { connect_ms: CONNECT_TIMEOUT, idle: MAX_IDLE, idle_ms: IDLE_TIMEOUT };
         Self {
             pool: Pool::new(entry.addr, config),
-            entry,
             connections: Connections::default(),
             health: Mutex::default(),
             open: AtomicU32::new(0),
@@ -89,7 +84,10 @@
             backlog: Mutex::default(),
             subjects: Mutex::default(),
             warmup: Mutex::new(warmup),
-            unproved: Mutex::default(),
+            exposures: Mutex::default(),
+            started: Mutex::new(Some(entry.born)),
+            entry,
+            checked: AtomicU64::new(0),
             restarted: AtomicU64::new(0),
             rejoin_time,
         }
@@ -176,28 +174,26 @@
         self.restarted.fetch_max((now + self.rejoin_time).0, Ordering::Relaxed);
     }
 
-    /// Records that an answer has ended without proof that it was whole.
-    pub(crate) fn add_unproved(&self, now: Ms, parts: Vec<u64>) {
-        let mut unproved = self.unproved();
-        if unproved.len() < MAX_UNPROVED {
-            unproved.push((now, parts));
-        }
-    }
-
-    /// Records that it has answered: it has not ended with earlier answers.
-    pub(crate) fn answered(&self, now: Ms) {
-        self.unproved().retain(|(at, _)| now - *at < OVERTAKE_TIME);
+    /// Requests that it may have begun to run and has not answered.
+    pub(crate) fn exposures(&self) -> MutexGuard<'_, Exposures> {
+        self.exposures.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// The requests whose answers its end may have broken off: when each one's ended, and the shared
-    /// parts of its prompt.
-    pub(crate) fn take_unproved(&self, now: Ms) -> Vec<(Ms, Vec<u64>)> {
-        let taken = std::mem::take(&mut *self.unproved());
-        taken.into_iter().filter(|(at, _)| now - *at <= UNPROVED_TIME).collect()
+    /// Sets when its process started, as it reports; none if none runs. Returns what was known before.
+    pub(crate) fn set_started(&self, started: Option<u64>) -> Option<u64> {
+        let mut known = self.started.lock().unwrap_or_else(PoisonError::into_inner);
+        std::mem::replace(&mut *known, started)
     }
 
-    fn unproved(&self) -> MutexGuard<'_, Vec<(Ms, Vec<u64>)>> {
-        self.unproved.lock().unwrap_or_else(PoisonError::into_inner)
+    /// Whether it may be checked now: the last check was at least `interval` ago. If so, this counts as
+    /// a check.
+    pub(crate) fn begin_check(&self, now: Ms, interval: Ms) -> bool {
+        let last = Ms(self.checked.load(Ordering::Relaxed));
+        let due = last == Ms::ZERO || now - last >= interval;
+        if due {
+            self.checked.store(now.0, Ordering::Relaxed);
+        }
+        due
     }
 
     /// Records that it announced that it is leaving. Returns whether that was unknown before.
@@ -310,6 +306,19 @@
         self.by_name.values()
     }
 
+    /// Whether another process is known to run in the place of a registered target.
+    pub(crate) fn is_superseded(&self, entry: &Entry) -> bool {
+        let renamed = |l: &Arc<Link>| l.entry.addr == entry.addr && l.entry.born > entry.born;
+        let same_name = self.by_name.get(&entry.id);
+        same_name.is_some_and(|l| l.entry.born != entry.born) || self.all().any(renamed)
+    }
+
+    /// Targets that the next links no longer have, with requests that they have not answered.
+    pub(crate) fn lost<'a>(&'a self, next: &'a Self) -> impl Iterator<Item = &'a Arc<Link>> {
+        let kept = |l: &Arc<Link>| next.by_name.get(&l.entry.id).is_some_and(|n| Arc::ptr_eq(n, l));
+        self.all().filter(move |l| !kept(l) && !l.exposures().is_empty())
+    }
+
     /// Number of targets that take work.
     pub(crate) fn ready(&self) -> usize {
         self.by_service.values().map(Vec::len).sum()
--- a/crates/edge/src/members.rs
+++ b/crates/edge/src/members.rs
@@ -12,9 +12,9 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use store::Empty;
 use tokio::sync::mpsc;
-use wire::{Crash, HostNews, PromptSent, TargetLimit};
+use wire::{HostNews, PromptSent, TargetLimit};
 
-use crate::diagnose::EngineEnd;
+use crate::diagnose::Ended;
 use crate::settings::Settings;
 
 /// Time-out of a call between hosts. The round trip takes up to about 40 ms, and a small host may
@@ -55,18 +55,15 @@
     peers: Arc<PeerClient>,
     clock: Arc<dyn Clock>,
     suspects: Mutex<HashMap<HostId, Ms>>,
-    crashes: mpsc::UnboundedSender<Crash>,
-    ends: mpsc::UnboundedSender<EngineEnd>,
+    ends: mpsc::UnboundedSender<Ended>,
     prompts: mpsc::UnboundedSender<(DomainId, PromptSent)>,
     limits: mpsc::UnboundedSender<(DomainId, TargetLimit)>,
 }
 
 /// News to be sent to other hosts.
 pub(crate) struct Outbox {
-    /// Requests under which a target broke its connection.
-    pub(crate) crashes: mpsc::UnboundedReceiver<Crash>,
-    /// Ends of engines, with the requests that may have caused them.
-    pub(crate) ends: mpsc::UnboundedReceiver<EngineEnd>,
+    /// Ends of targets, with the requests that may have caused them.
+    pub(crate) ends: mpsc::UnboundedReceiver<Ended>,
     /// Prompts sent to engines, with the engine's failure domain.
     pub(crate) prompts: mpsc::UnboundedReceiver<(DomainId, PromptSent)>,
     /// Rate limits that targets name, or no longer name, with the target's failure domain.
@@ -86,7 +83,6 @@
             capacity: (settings.cores * 1000.0) as u32,
         };
         let (node, _news) = Node::start(config, Arc::new(Empty), clock.clone()).await?;
-        let (crashes, crashes_out) = mpsc::unbounded_channel();
         let (ends, ends_out) = mpsc::unbounded_channel();
         let (prompts, prompts_out) = mpsc::unbounded_channel();
         let (limits, limits_out) = mpsc::unbounded_channel();
@@ -96,17 +92,11 @@
             peers: Arc::new(PeerClient::new(PEER_TIMEOUT).with_pauses(pauses)),
             clock,
             suspects: Mutex::default(),
-            crashes,
             ends,
             prompts,
             limits,
         };
-        let outbox = Outbox {
-            crashes: crashes_out,
-            ends: ends_out,
-            prompts: prompts_out,
-            limits: limits_out,
-        };
+        let outbox = Outbox { ends: ends_out, prompts: prompts_out, limits: limits_out };
         Ok((members, node, outbox))
     }
 
@@ -140,7 +130,7 @@
     }
 
     /// The host responsible for a hash: it keeps what the fleet knows about the subject of a
-    /// prompt, or about a request that crashes targets.
+    /// prompt.
     pub(crate) fn hash_owner(&self, hash: u64) -> Option<Owner> {
         self.pick(&hash.to_le_bytes(), |_| true)
     }
@@ -188,15 +178,8 @@
         self.suspects().insert(host.clone(), until);
     }
 
-    /// Queues the news that a target broke its connection under a request, for the other hosts.
-    pub(crate) fn queue_crash(&self, fingerprint: u64, target: &TargetId) {
-        let crash = Crash { fingerprint, target: target.as_str().to_owned() };
-        // The receiver lives as long as the host.
-        let _ = self.crashes.send(crash);
-    }
-
-    /// Queues the news that an engine ended, for the hosts that find out why.
-    pub(crate) fn queue_end(&self, end: EngineEnd) {
+    /// Queues the news that a target ended, for the hosts that find out why.
+    pub(crate) fn queue_end(&self, end: Ended) {
         // The receiver lives as long as the host.
         let _ = self.ends.send(end);
     }
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -24,6 +24,8 @@
     streams: Counter<u64>,
     known_streams: Gauge<u64>,
     poison_parts: Gauge<u64>,
+    poison_requests: Gauge<u64>,
+    targets_ended: Counter<u64>,
     stages: Histogram<u64>,
     errors: Histogram<u64>,
     calls: Histogram<u64>,
@@ -69,6 +71,8 @@
             streams: meter.u64_counter("edge_streams_went_on").build(),
             known_streams: meter.u64_gauge("edge_known_streams").build(),
             poison_parts: meter.u64_gauge("edge_poison_parts").build(),
+            poison_requests: meter.u64_gauge("edge_poison_requests").build(),
+            targets_ended: meter.u64_counter("edge_targets_ended").build(),
             stages: meter.u64_histogram("edge_stage_ms").build(),
             errors: meter.u64_histogram("edge_prediction_error_ms").build(),
             calls: meter.u64_histogram("edge_call_pieces").build(),
@@ -138,9 +142,16 @@
         self.known_streams.record(streams as u64, &[]);
     }
 
-    /// Records the number of parts of prompts that are refused because they end engines.
-    pub(crate) fn poison_parts(&self, parts: usize) {
+    /// Records the numbers of parts of prompts and of requests that are refused because they end
+    /// targets.
+    pub(crate) fn quarantined(&self, parts: usize, requests: usize) {
         self.poison_parts.record(parts as u64, &[]);
+        self.poison_requests.record(requests as u64, &[]);
+    }
+
+    /// Counts an end of a target, by what proves it.
+    pub(crate) fn target_ended(&self, proof: &'static str) {
+        self.targets_ended.add(1, &[KeyValue::new("proof", proof)]);
     }
 
     /// Records the time that a stage took from its submission.
--- a/crates/edge/src/notify.rs
+++ b/crates/edge/src/notify.rs
@@ -1,19 +1,14 @@
 //! Notifies other hosts of news that they need at once. News is collected for a moment and then
 //! sent in one message to each host.
 
-use base::{DomainId, HostId, Ms};
-use sched::poison::{Recipients, recipients};
+use base::{DomainId, Ms};
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use tokio::sync::mpsc::UnboundedReceiver;
-use wire::{Crash, HostNews, PromptSent, TargetLimit};
+use wire::{HostNews, PromptSent, TargetLimit};
 
 use crate::core::Core;
-use crate::members::Owner;
 
-/// Time for which crashes are collected before they are sent.
-const CRASH_WINDOW: Ms = Ms(50);
 /// Time for which sent prompts are collected. An engine reads a short prompt in twice that time,
 /// and a host sends at most a hundred messages per second to each of the few hosts that it
 /// notifies.
@@ -21,52 +16,6 @@
 /// Time for which changes of targets' rate limits are collected.
 const LIMIT_WINDOW: Ms = Ms(50);
 
-/// Notifies other hosts of crashes that this host has seen.
-pub(crate) async fn crashes(core: Arc<Core>, mut queue: UnboundedReceiver<Crash>) {
-    while let Some(crashes) = collect(&mut queue, CRASH_WINDOW).await {
-        send_crashes(&core, crashes).await;
-    }
-}
-
-/// Sends crashes to the hosts that must know of them; see [`sched::poison`].
-async fn send_crashes(core: &Core, crashes: Vec<Crash>) {
-    let hosts = core.members.hosts().len();
-    let breaks = |c: &Crash| core.poison().broken(c.fingerprint).len();
-    let (all, counted): (Vec<Crash>, Vec<Crash>) =
-        crashes.into_iter().partition(|c| recipients(hosts, breaks(c)) == Recipients::All);
-    let mut counters: BTreeMap<HostId, (SocketAddr, Vec<Crash>)> = BTreeMap::new();
-    for crash in counted {
-        // If this host is the one that counts, it already knows.
-        if let Some(Owner::Peer { host, addr }) = core.members.hash_owner(crash.fingerprint) {
-            counters.entry(host).or_insert_with(|| (addr, Vec::new())).1.push(crash);
-        }
-    }
-    for (host, (addr, crashes)) in counters {
-        let news = HostNews { crashes, ..HostNews::default() };
-        core.members.notify_one(&host, addr, news).await;
-    }
-    if !all.is_empty() {
-        core.members.notify_all(HostNews { crashes: all, ..HostNews::default() }).await;
-    }
-}
-
-/// Records a crash that another host has reported. If this host counts the crashes of that request
-/// and there are enough of them, all hosts are notified.
-pub(crate) fn receive_crash(core: &Core, crash: &Crash) {
-    let target = crash.target.as_str().into();
-    let is_new = core.poison().record(core.clock.now(), crash.fingerprint, &target);
-    let counts = matches!(core.members.hash_owner(crash.fingerprint), Some(Owner::Me));
-    let broken = core.poison().broken(crash.fingerprint).to_vec();
-    let hosts = core.members.hosts().len();
-    if !is_new || !counts || recipients(hosts, broken.len()) == recipients(hosts, 1) {
-        return;
-    }
-    // The earlier crashes, of which only this host was notified, are sent too.
-    for target in broken {
-        core.members.queue_crash(crash.fingerprint, &target);
-    }
-}
-
 /// Notifies the hosts of each engine's failure domain, which choose among the same engines, of the
 /// prompts sent to it.
 ///
--- a/crates/edge/src/plain.rs
+++ b/crates/edge/src/plain.rs
@@ -22,6 +22,7 @@
 use crate::connections::{Found, Permit, acquire};
 use crate::core::Core;
 use crate::dialect::ForwardFields;
+use crate::gate::BlockReason;
 use crate::links::Link;
 use crate::refusal::{Reason, give_up};
 use crate::request::Call;
@@ -48,6 +49,8 @@
 enum Step {
     Ended(Ended),
     Found(Second),
+    /// The request is known to end targets.
+    Poisoned(BlockReason),
 }
 
 /// A request at its targets.
@@ -98,6 +101,8 @@
             let second = second::find(self.core, self.call, &self.tried, self.pending.last());
             let step = tokio::select! {
                 biased;
+                // First: nothing may be written once the request is known to end targets.
+                blocked = self.core.poisoned(&self.call.suspects) => Step::Poisoned(blocked),
                 Some(ended) = open.next() => Step::Ended(ended),
                 second = second, if self.may_run_again() => Step::Found(second),
             };
@@ -107,6 +112,7 @@
                     return Ok(response);
                 }
                 Step::Ended((link, result)) => self.record_end(link, result)?,
+                Step::Poisoned(blocked) => return Err(blocked.into()),
                 Step::Found(second) if self.charge() => {
                     second::note_found(self.core, self.call, &second);
                     open.push(self.begin(second.found, second.new_connection));
@@ -126,7 +132,12 @@
             self.core.metrics.retry(self.call.service.as_str(), "denied");
             return Err(denied);
         }
-        let found = acquire(self.core, self.call, &self.tried).await;
+        self.core.verdict(&self.call.suspects).await;
+        let found = tokio::select! {
+            biased;
+            blocked = self.core.poisoned(&self.call.suspects) => return Err(blocked.into()),
+            found = acquire(self.core, self.call, &self.tried) => found,
+        };
         let found = found.map_err(|reason| if self.runs > 0 { Reason::Failed } else { reason })?;
         match self.left() {
             // It waited for the connection until its time was over.
@@ -262,23 +273,6 @@
     );
 }
 
-/// Records that a target broke its connection before its response was complete. If the request is
-/// to blame, all hosts must know, so the other hosts are notified of a crash that isn't known yet.
-pub(crate) fn report_crash(core: &Core, call: &Call, link: &Link) {
-    let now = core.clock.now();
-    let incarnation = link.incarnation();
-    let is_new = core.poison().record(now, call.fingerprint, &incarnation);
-    if is_new {
-        note!(
-            logs::Event::EndCounted,
-            target = %incarnation,
-            evidence = "broken",
-            keys = format!("{:x}", call.fingerprint)
-        );
-        core.members.queue_crash(call.fingerprint, &incarnation);
-    }
-}
-
 /// The headers of a request to a target.
 pub(crate) fn headers(
     core: &Core,
--- a/crates/edge/src/plain/attempt.rs
+++ b/crates/edge/src/plain/attempt.rs
@@ -9,13 +9,14 @@
 use sched::health::Outcome;
 use std::sync::Arc;
 
+use super::headers;
 use super::second::record_unanswered;
-use super::{headers, report_crash};
 use crate::body::{ResponseBody, full_body, is_framed};
 use crate::core::Core;
+use crate::diagnose;
 use crate::links::Link;
 use crate::request::Call;
-use crate::send::{Answered, SendFault, Via, Wait, send};
+use crate::send::{Answered, Lease, SendFault, Sending, Via, Wait, send};
 
 /// Largest response in bytes. A response is buffered completely, so that one that ends early is
 /// never passed on in part.
@@ -48,7 +49,9 @@
 ) -> Attempt {
     let wait = Wait::Deadline(call.left(started));
     let build = || call.target_request(headers(core, call, link, &[], call.head.last_event, None));
-    let result = send(core, link, &call.residency, &call.head.id, wait, via, build).await;
+    let exposed = [call.suspects.exposed()];
+    let request = Sending { id: &call.head.id, exposed: &exposed };
+    let result = send(core, link, &call.residency, request, wait, via, build).await;
     let answered = match result {
         Ok(answered) => answered,
         Err(fault) => return failed(core, call, link, started, fault),
@@ -61,7 +64,7 @@
         answered.lease.close();
         return Attempt::NotRun;
     }
-    let (parts, body) = match read(answered, call.left(core.clock.now())).await {
+    let (parts, body, lease) = match read(answered, call.left(core.clock.now())).await {
         Ok(read) => read,
         Err(LinkError::Silent) => return failed(core, call, link, started, SendFault::Silent),
         Err(_) => {
@@ -73,6 +76,11 @@
     let status = parts.status;
     // The end of any other answer may be that of its target.
     let framed = is_framed(&parts.headers);
+    if framed {
+        lease.close();
+    } else {
+        lease.close_unframed();
+    }
     let valid = !status.is_success() || (head.signed && !head.encoded);
     if !valid {
         link.record(now, Outcome::Broken);
@@ -85,8 +93,8 @@
         return Attempt::Failed(response);
     }
     link.record(now, Outcome::Good(now - started));
-    if framed {
-        core.poison().clear(call.fingerprint);
+    if framed && status.is_success() {
+        diagnose::request_is_sound(core, call.suspects.key(), started);
     }
     record_served(core, call, link, now);
     Attempt::Answered(response)
@@ -110,13 +118,17 @@
     }
 }
 
-async fn read(answered: Answered, timeout: Ms) -> Result<(Parts, Bytes), LinkError> {
-    let Answered { parts, body, lease, .. } = answered;
+async fn read(answered: Answered, timeout: Ms) -> Result<(Parts, Bytes, Lease), LinkError> {
+    let Answered { parts, body, mut lease, .. } = answered;
     let read = link::read(body, MAX_RESPONSE_BYTES);
-    let body =
-        tokio::time::timeout(timeout.duration(), read).await.map_err(|_| LinkError::Silent)??;
-    lease.close();
-    Ok((parts, body))
+    let read = tokio::time::timeout(timeout.duration(), read).await;
+    match read.map_err(|_| LinkError::Silent)? {
+        Ok(body) => Ok((parts, body, lease)),
+        Err(err) => {
+            lease.broken();
+            Err(err)
+        }
+    }
 }
 
 fn failed(
@@ -129,16 +141,14 @@
     note!(
         logs::Event::AttemptFailed,
         request = %call.head.id,
-        key = format!("{:x}", call.fingerprint),
+        key = format!("{:x}", call.suspects.key()),
         target = link.name(),
         fault = fault.name(),
         left_ms = call.left(core.clock.now()).0
     );
     core.metrics.sent(&call.route.name, fault.name());
-    match fault {
-        SendFault::Broken => report_crash(core, call, link),
-        SendFault::Silent => record_unanswered(core, link, started),
-        _ => {}
+    if fault == SendFault::Silent {
+        record_unanswered(core, link, started);
     }
     match fault {
         SendFault::Blocked(_) => Attempt::Blocked,
--- a/crates/edge/src/parts.rs
+++ b/crates/edge/src/quarantine.rs
@@ -1,11 +1,10 @@
-//! Keeps the list of prompt parts that end engines, in the platform's store. See
-//! [`catalog::PoisonParts`].
+//! Keeps the list of what ends targets in the platform's store. See [`catalog::Quarantine`].
 //!
-//! A host that reads the store lists the parts, watches the list and adds what was found since; the
+//! A host that reads the store reads the list, watches it and adds what was found since; the
 //! others learn of it from that host. Hosts also tell each other at once, but a host may be cut off
 //! from those that know, and all may be restarted.
 
-use base::Ms;
+use base::{Ms, Suspect};
 use catalog::Position;
 use std::sync::Arc;
 
@@ -14,8 +13,8 @@
 use crate::directory::{DirectoryError, Kind};
 use crate::read::{STORE_TIMEOUT, list, read};
 
-/// Longest wait of a watch. The hosts tell each other of new parts, so a watch matters only to one
-/// that the others don't reach, and to lift a part.
+/// Longest wait of a watch. The hosts tell each other of what they find, so a watch matters only to
+/// one that the others don't reach, and to lift something.
 const WATCH_WAIT: Ms = Ms::secs(10);
 /// Least time between two calls to a store that does not answer, once the list is known: what is
 /// found meanwhile, hosts tell each other.
@@ -39,28 +38,27 @@
             }
             Err(err) => {
                 since = None;
-                backoff.failed(&err, "parts");
-                let least = if core.knows_parts() { RETRY_DELAY } else { Ms::ZERO };
+                backoff.failed(&err, "quarantine");
+                let least = if core.knows_quarantine() { RETRY_DELAY } else { Ms::ZERO };
                 tokio::time::sleep(backoff.delay(core.draw()).max(least).duration()).await;
             }
         }
     }
 }
 
-/// Lists the parts unless they are known up to `since`, adds those that are missing, and waits for a
-/// change. Returns the position from which to go on.
+/// Reads the list unless it is known up to `since`, adds what is missing, and waits for a change. Returns the position from which to go on.
 async fn update(core: &Core, since: Option<Position>) -> Result<Position, DirectoryError> {
-    let mut found = core.parts_found();
+    let mut found = core.suspects_found();
     let known = since.filter(|since| core.in_newest_era(*since));
     let since = match known {
         Some(since) => since,
         None => read_list(core).await?,
     };
-    let unlisted = core.poison_parts().unlisted();
+    let unlisted = core.quarantine().unlisted();
     if !unlisted.is_empty() {
-        for part in unlisted {
+        for suspect in unlisted {
             core.metrics.store_call("write");
-            core.directory.add_part(part).await?;
+            core.directory.quarantine(suspect).await?;
         }
         return read_list(core).await;
     }
@@ -80,7 +78,7 @@
 /// Waits for changes of the list, and reads it if there are any.
 async fn watch(core: &Core, since: Position) -> Result<Position, DirectoryError> {
     core.metrics.store_call("watch");
-    let watch = || core.directory.watch(Kind::PoisonParts, since, WATCH_WAIT);
+    let watch = || core.directory.watch(Kind::Quarantine, since, WATCH_WAIT);
     let updates = read(core, WATCH_WAIT + STORE_TIMEOUT, watch).await?;
     match updates.changes.is_empty() && updates.position.era == since.era {
         true => Ok(updates.position),
@@ -89,8 +87,8 @@
 }
 
 async fn read_list(core: &Core) -> Result<Position, DirectoryError> {
-    let (records, position) = list(core, core.directory.as_ref(), Kind::PoisonParts).await?;
-    let listed = records.into_iter().filter_map(|record| record.body.poison_part());
-    core.apply_parts(position, &listed.collect::<Vec<u64>>());
+    let (records, position) = list(core, core.directory.as_ref(), Kind::Quarantine).await?;
+    let listed = records.into_iter().filter_map(|record| record.body.quarantined());
+    core.apply_quarantine(position, &listed.collect::<Vec<Suspect>>());
     Ok(position)
 }
--- a/crates/edge/src/refusal.rs
+++ b/crates/edge/src/refusal.rs
@@ -83,6 +83,7 @@
             | BlockReason::Unreachable
             | BlockReason::Leaving => Self::NoTarget,
             BlockReason::OtherBuild => Self::OtherBuild,
+            BlockReason::Poison => Self::Poison,
             BlockReason::PoisonPart => Self::PoisonPart,
             BlockReason::Outside => Self::Outside,
             BlockReason::Evacuated => Self::Evacuated,
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -186,8 +186,8 @@
                         return step;
                     }
                 }
-                Event::Poisoned => {
-                    if let Some(step) = self.poisoned() {
+                Event::Poisoned(blocked) => {
+                    if let Some(step) = self.poisoned(blocked) {
                         return step;
                     }
                 }
@@ -277,7 +277,9 @@
 /// The reason of a refusal for an obstacle to sending a request.
 fn refusal(fault: AttemptFault, runs: u32) -> Reason {
     match fault {
-        AttemptFault::Blocked(BlockReason::PoisonPart) => Reason::PoisonPart,
+        AttemptFault::Blocked(reason @ (BlockReason::Poison | BlockReason::PoisonPart)) => {
+            reason.into()
+        }
         // Not a refusal that says that it has not run.
         AttemptFault::Stages(_) | AttemptFault::Blocked(_) if runs > 0 => Reason::Failed,
         AttemptFault::Stages(reason) => reason,
--- a/crates/edge/src/relay/attempt.rs
+++ b/crates/edge/src/relay/attempt.rs
@@ -14,10 +14,10 @@
 use crate::plain::headers;
 use crate::refusal::Reason;
 use crate::request::Call;
+use crate::restart;
 use crate::results::Results;
-use crate::send::{Answered, IfClosed, SendFault, Via, Wait, send};
+use crate::send::{Answered, IfClosed, SendFault, Sending, Via, Wait, send};
 use crate::stages::{self, Turn};
-use crate::{diagnose, restart};
 use sched::placement::engines::Prompt;
 
 /// Most engines that a request is sent to, including those that did not run it.
@@ -153,6 +153,7 @@
             }
             ended.results = Some(self.results.clone());
         }
+        core.verdict(&self.call.suspects).await;
         ended.result = match self.select() {
             Ok(link) => self.send_to(&link, &mut ended).await,
             Err(reason) => Err(AttemptFault::Blocked(reason)),
@@ -164,8 +165,8 @@
     /// Selects an engine, and takes a retry from the budget if this is one.
     fn select(&self) -> Result<Arc<Link>, BlockReason> {
         let core = &self.app.core;
-        if core.poison_part(&self.call.head).is_some() {
-            return Err(BlockReason::PoisonPart);
+        if let Some(blocked) = core.poison(&self.call.suspects) {
+            return Err(blocked);
         }
         if self.tried.len() >= MAX_ENGINES {
             return Err(BlockReason::NoTarget);
@@ -187,7 +188,6 @@
         ended.sent_at = core.clock.now();
         // Also for a stream that can't be resumed: its connection may carry one that can.
         if !restart::is_same(core, link, &call.residency).await {
-            diagnose::target_gone(core, link);
             return Err(AttemptFault::OtherIncarnation);
         }
         ended.was_idle = self.record_prompt(link, ended.sent_at);
@@ -204,7 +204,9 @@
         // How long its silence is borne depends on whether another engine may go on, see `Relay`.
         let wait = Wait::Fixed(call.left(core.clock.now()));
         let via = Via::Pool(IfClosed::Fail);
-        send(core, link, &call.residency, &call.head.id, wait, via, build)
+        let exposed = [call.suspects.exposed()];
+        let request = Sending { id: &call.head.id, exposed: &exposed };
+        send(core, link, &call.residency, request, wait, via, build)
             .await
             .map_err(AttemptFault::Send)
     }
--- a/crates/edge/src/relay/forward.rs
+++ b/crates/edge/src/relay/forward.rs
@@ -150,19 +150,18 @@
         }
     }
 
-    /// Records what the end of a stream says of its request. One with neither a length nor chunks may
-    /// have been broken off by the end of its engine, so it proves nothing by itself.
-    fn record_end(&self, open: &OpenStream) {
-        match () {
-            () if open.sound => {}
-            () if open.framed => diagnose::answer_is_sound(&self.core, &self.call, open.begun),
-            () => {
-                let now = self.core.clock.now();
-                open.link.add_unproved(now, diagnose::shared_parts(&self.call));
-                return;
-            }
+    /// Records the end of a stream. One with neither a length nor chunks may have been broken off by
+    /// the end of its engine, so it proves nothing by itself.
+    fn record_end(&self, open: OpenStream) {
+        if !open.sound && !open.framed {
+            open.lease.close_unframed();
+            return;
+        }
+        if !open.sound {
+            diagnose::answer_is_sound(&self.core, &self.call, open.begun);
         }
-        self.core.poison().clear(self.call.fingerprint);
+        diagnose::request_is_sound(&self.core, self.call.suspects.key(), open.sent_at);
+        open.lease.close();
     }
 
     /// Logs and counts that a stream which the caller takes up goes on.
@@ -183,7 +182,6 @@
     /// Records the end of a complete stream.
     fn finish(&mut self) {
         let Some(open) = self.open.take() else { return };
-        self.record_end(&open);
         self.core.metrics.sent(&self.call.route.name, "good");
         let now = self.core.clock.now();
         let late =
@@ -204,6 +202,6 @@
                 stands_for
             );
         }
-        open.lease.close();
+        self.record_end(open);
     }
 }
--- a/crates/edge/src/relay/outcome.rs
+++ b/crates/edge/src/relay/outcome.rs
@@ -12,9 +12,8 @@
 use super::{OpenStream, Relay, Step, refusal};
 use crate::body::{ResponseBody, full_body, is_framed};
 use crate::core::Core;
-use crate::diagnose;
+use crate::gate::BlockReason;
 use crate::links::Link;
-use crate::plain::report_crash;
 use crate::refusal::Reason;
 use crate::send::{Answered, SendFault};
 use crate::stages;
@@ -126,7 +125,7 @@
             }
             Err(AttemptFault::Send(fault)) => {
                 self.sends += u32::from(!matches!(fault, SendFault::Blocked(_)));
-                self.record_failure(&link, fault, sent_at, None);
+                self.record_failure(&link, fault, None);
                 match fault.unsent() {
                     true => Verdict::NotRun,
                     false => {
@@ -163,16 +162,16 @@
             let outcome = if head.moved { Outcome::NoConnection } else { Outcome::Full };
             link.record(now, outcome);
             self.core.metrics.sent(&self.call.route.name, "not_run");
+            answered.lease.close();
             return Verdict::NotRun;
         }
         self.runs += 1;
-        link.answered(now);
         match answered.parts.status.is_success() {
             true if head.signed && !head.encoded => {
                 Verdict::Began(self.open(link, sent_at, was_idle, answered))
             }
             true => {
-                self.record_failure(&link, SendFault::Mismatch, sent_at, None);
+                self.record_failure(&link, SendFault::Mismatch, None);
                 Verdict::Lost
             }
             false => {
@@ -192,6 +191,7 @@
         answered: Answered,
     ) -> Box<Parts> {
         let Answered { parts, body, lease, .. } = answered;
+        lease.answering();
         self.give_up_open(SendFault::Silent);
         self.open = Some(OpenStream {
             link,
@@ -220,13 +220,13 @@
         self.runs += written;
     }
 
-    /// Drops the attempts because a part of the prompt ends engines. Returns what the caller gets if
+    /// Drops the attempts because the request or a part of its prompt ends engines. Returns what the caller gets if
     /// no engine streams.
-    pub(super) fn poisoned(&mut self) -> Option<Step> {
+    pub(super) fn poisoned(&mut self, blocked: BlockReason) -> Option<Step> {
         self.withdraw_successor();
         let attempt = self.pending.take()?;
         self.count(&attempt.progress());
-        Some(Step::GivenUp(Reason::PoisonPart))
+        Some(Step::GivenUp(blocked.into()))
     }
 
     /// The end of the caller's time.
@@ -253,14 +253,17 @@
 
     /// Closes the connection of the engine that streams, so that it stops.
     pub(super) fn give_up_open(&mut self, fault: SendFault) {
-        let Some(open) = self.open.take() else { return };
+        let Some(mut open) = self.open.take() else { return };
+        if fault == SendFault::Broken {
+            open.lease.broken();
+        }
         let outcome = match fault {
             SendFault::Silent => Outcome::Silent,
             _ => Outcome::Broken,
         };
         let now = self.core.clock.now();
         open.link.record(now, outcome);
-        self.record_failure(&open.link, fault, open.sent_at, Some(now - open.begun));
+        self.record_failure(&open.link, fault, Some(now - open.begun));
         self.events.restart();
     }
 
@@ -269,20 +272,19 @@
         let Some(attempt) = self.pending.take() else { return };
         let progress = attempt.progress();
         self.count(&progress);
-        if let Progress { link: Some(link), written: Some(written) } = progress {
+        if let Progress { link: Some(link), written: Some(_) } = progress {
             self.core.record_silence(&link);
             link.record(self.core.clock.now(), Outcome::Silent);
-            self.record_failure(&link, SendFault::Silent, written, None);
+            self.record_failure(&link, SendFault::Silent, None);
         }
     }
 
-    /// Logs and counts a failed send, or a stream that failed, of a request sent at `sent`.
-    /// `answering` is the time since the engine began to answer; none if it had not.
-    fn record_failure(&self, link: &Link, fault: SendFault, sent: Ms, answering: Option<Ms>) {
+    /// Logs and counts a failed send, or a stream that failed. `answering` is the time since the engine began to answer; none if it had not.
+    fn record_failure(&self, link: &Link, fault: SendFault, answering: Option<Ms>) {
         note!(
             logs::Event::AttemptFailed,
             request = %self.call.head.id,
-            key = format!("{:x}", self.call.fingerprint),
+            key = format!("{:x}", self.call.suspects.key()),
             target = link.name(),
             fault = fault.name(),
             last_event = self.events.last(),
@@ -291,17 +293,6 @@
             left_ms = self.call.left(self.core.clock.now()).0
         );
         self.core.metrics.sent(&self.call.route.name, fault.name());
-        match fault {
-            SendFault::Broken => {
-                report_crash(&self.core, &self.call, link);
-                diagnose::engine_ended(&self.core, &self.call, link, sent, answering);
-            }
-            SendFault::NoConnection => diagnose::target_gone(&self.core, link),
-            SendFault::Blocked(_)
-            | SendFault::Unproved
-            | SendFault::Silent
-            | SendFault::Mismatch => {}
-        }
     }
 }
 
--- a/crates/edge/src/relay/wait.rs
+++ b/crates/edge/src/relay/wait.rs
@@ -7,6 +7,7 @@
 use super::attempt::{Attempt, Ended};
 use super::silence::accepted;
 use super::{OpenStream, Relay};
+use crate::gate::BlockReason;
 
 /// What a relay waits for.
 pub(super) enum Event {
@@ -16,8 +17,8 @@
     Ended(Ended),
     /// The successor's attempt has ended.
     SuccessorEnded(Ended),
-    /// A part of the prompt ends engines.
-    Poisoned,
+    /// The request, or a part of its prompt, is known to end engines.
+    Poisoned(BlockReason),
     /// The successor's engine has accepted the request.
     Accepted,
     /// The deadline or the end of a silence.
@@ -46,9 +47,9 @@
         let progress = self.successor.as_ref().map(Attempt::watch);
         let (open, pending, successor) = (&mut self.open, &mut self.pending, &mut self.successor);
         tokio::select! {
-            // First: nothing may be written once a part of the prompt is known to end engines.
+            // First: nothing may be written once that is known.
             biased;
-            () = self.core.poisoned(&self.call.head), if writes => Event::Poisoned,
+            blocked = self.core.poisoned(&self.call.suspects), if writes => Event::Poisoned(blocked),
             frame = next_frame(open) => Event::Frame(frame),
             ended = next_end(pending) => Event::Ended(ended),
             ended = next_end(successor) => Event::SuccessorEnded(ended),
--- a/crates/edge/src/request.rs
+++ b/crates/edge/src/request.rs
@@ -18,6 +18,7 @@
 use crate::dialect::RequestHead;
 use crate::host::App;
 use crate::refusal::{Reason, refuse};
+use crate::suspects::Suspects;
 use crate::{discard, plain, stream};
 
 /// Deadline of a request that names none, where the time-out of its route isn't shorter.
@@ -39,9 +40,8 @@
     pub(crate) arrived: Ms,
     /// When its time is over.
     pub(crate) deadline: Ms,
-    /// Hash of route, path, workspace and body: the same if the caller sends the same request
-    /// again.
-    pub(crate) fingerprint: u64,
+    /// What of it may end targets.
+    pub(crate) suspects: Suspects,
 }
 
 impl Call {
@@ -190,7 +190,7 @@
     if app.closed() {
         return Err(refused(Reason::Stopping));
     }
-    if !core.knows_evacuations() || !core.knows_builds() || !core.knows_parts() {
+    if !core.knows_evacuations() || !core.knows_builds() || !core.knows_quarantine() {
         return Err(refused(Reason::NoConfig));
     }
     let allowed = workspace.as_ref().map_or(Residency::Anywhere, |w| w.residency.clone());
@@ -202,16 +202,17 @@
     if time == Ms::ZERO {
         return Err(refused(Reason::NoTime));
     }
-    if core.poison_part(&head).is_some() {
+    if core.has_poison_part(&head) {
         return Err(refused(Reason::PoisonPart));
     }
     let deadline = arrived + time;
     let body = read_body(body, catalog.limits.body_bytes, time).await.map_err(refused)?;
     let name = workspace.as_ref().map_or("", |w| w.name.as_str());
     let path = parts.uri.path_and_query().map_or("", |p| p.as_str());
-    let fingerprint = hash_parts(&[route.name.as_bytes(), path.as_bytes(), name.as_bytes(), &body]);
-    if core.poison().is_poison(core.clock.now(), fingerprint) {
-        return Err(refused(Reason::Poison));
+    let suspects = Suspects::new(&head, path, name, &body, route.stages.len());
+    core.verdict(&suspects).await;
+    if let Some(blocked) = core.poison(&suspects) {
+        return Err(refused(blocked.into()));
     }
     // A stream that is taken up goes on at the service that began it.
     let draw = hash_parts(&[head.begun_as().as_bytes()]);
@@ -228,7 +229,7 @@
         body,
         arrived,
         deadline,
-        fingerprint,
+        suspects,
     })
 }
 
--- a/crates/edge/src/restart.rs
+++ b/crates/edge/src/restart.rs
@@ -10,7 +10,7 @@
 
 use base::Ms;
 use catalog::Residency;
-use link::{ConnPolicy, full, read};
+use link::{Conn, ConnPolicy, LinkError, full, read};
 use logs::note;
 use sched::health::Outcome;
 use std::sync::Arc;
@@ -67,10 +67,21 @@
             return None;
         }
     };
+    let started = read_start(core, link, &mut dialed.conn).await.ok()??;
+    Some((started, dialed))
+}
+
+/// Asks a target on this connection when it started, in ms since the Unix epoch; none if its answer
+/// does not tell.
+pub(crate) async fn read_start(
+    core: &Core,
+    link: &Link,
+    conn: &mut Conn,
+) -> Result<Option<u64>, LinkError> {
     let call = core.dialect.report_call(link.name()).map(full);
-    let answer = dialed.conn.send(call, ANSWER_TIMEOUT).await.ok()?;
+    let answer = conn.send(call, ANSWER_TIMEOUT).await?;
     let body = read(answer.into_body(), MAX_ANSWER_BYTES);
-    let body = tokio::time::timeout(ANSWER_TIMEOUT.duration(), body).await.ok()?.ok()?;
-    let started = core.dialect.parse_report(&body)?;
-    Some((started, dialed))
+    let body = tokio::time::timeout(ANSWER_TIMEOUT.duration(), body);
+    let body = body.await.map_err(|_| LinkError::Silent)??;
+    Ok(core.dialect.parse_report(&body))
 }
--- a/crates/edge/src/send.rs
+++ b/crates/edge/src/send.rs
@@ -15,6 +15,7 @@
 use crate::core::Core;
 use crate::dial::{Dialed, dial};
 use crate::dialect::ResponseHead;
+use crate::exposures::{Exposed, Trace};
 use crate::gate::{self, BlockReason};
 use crate::links::{Link, OpenRequest};
 use crate::notices;
@@ -79,12 +80,29 @@
     dialed: Dialed,
     keep: Option<Ms>,
     permit: Option<Permit>,
+    trace: Trace,
     _open: OpenRequest,
 }
 
 impl Lease {
+    /// Records that the target begins to answer.
+    pub(crate) fn answering(&self) {
+        self.trace.answering();
+    }
+
+    /// Records that the connection broke.
+    pub(crate) fn broken(&mut self) {
+        self.trace.broken();
+    }
+
+    /// Ends it after an answer that has neither a length nor chunks, and seems whole.
+    pub(crate) fn close_unframed(self) {
+        self.trace.close_unframed();
+    }
+
     /// Returns the connection to the pool, after the whole answer was read and is valid.
     pub(crate) fn close(self) {
+        self.trace.close();
         match self.keep {
             // The target is about to close it: a request on it would be lost.
             Some(keep) if keep < MIN_KEEP_ALIVE => {}
@@ -144,6 +162,15 @@
     Permit(Permit),
 }
 
+/// What a send is for.
+#[derive(Clone, Copy)]
+pub(crate) struct Sending<'a> {
+    /// Id that the answer must name.
+    pub(crate) id: &'a str,
+    /// What of the requests that it carries may end the target.
+    pub(crate) exposed: &'a [Exposed],
+}
+
 /// Sends a request, which may be processed within `residency`, and waits for the head of its answer.
 /// `build` is called once there is a connection, so that the remaining time that it writes into the
 /// request is right.
@@ -151,12 +178,12 @@
     core: &Arc<Core>,
     link: &Arc<Link>,
     residency: &Residency,
-    id: &str,
+    request: Sending<'_>,
     wait: Wait,
     via: Via,
     build: impl Fn() -> Request<Bytes>,
 ) -> Result<Answered, SendFault> {
-    let result = attempt(core, link, residency, id, wait, via, build).await;
+    let result = attempt(core, link, residency, request, wait, via, build).await;
     if matches!((&result, wait), (Err(SendFault::Silent), Wait::Deadline(_))) {
         return result;
     }
@@ -173,7 +200,7 @@
     core: &Arc<Core>,
     link: &Arc<Link>,
     residency: &Residency,
-    id: &str,
+    request: Sending<'_>,
     wait: Wait,
     via: Via,
     build: impl Fn() -> Request<Bytes>,
@@ -192,8 +219,10 @@
         None => connect(core, link, residency, policy).await?,
     };
     gate::admit(core, link).map_err(SendFault::Blocked)?;
+    let mut trace = Trace::begin(core, link, request.exposed);
     let mut result = dialed.conn.send(build().map(full), end - core.clock.now()).await;
     if matches!(result, Err(LinkError::Unsent)) && if_closed == IfClosed::Reopen {
+        trace.close();
         dialed = match &mut permit {
             Some(permit) => {
                 permit.record(result.as_ref().map(drop));
@@ -202,6 +231,7 @@
             None => connect(core, link, residency, ConnPolicy::New).await?,
         };
         gate::admit(core, link).map_err(SendFault::Blocked)?;
+        trace = Trace::begin(core, link, request.exposed);
         result = dialed.conn.send(build().map(full), end - core.clock.now()).await;
     }
     if let (Err(LinkError::Silent), Wait::Running { most, .. }) = (&result, wait) {
@@ -214,20 +244,32 @@
     if let Some(permit) = &mut permit {
         permit.record(result.as_ref().map(drop));
     }
+    match &result {
+        Err(LinkError::Broken { .. } | LinkError::TooLarge { .. } | LinkError::Malformed(_)) => {
+            trace.broken();
+        }
+        Err(LinkError::Connect | LinkError::Refused | LinkError::Unsent) => {
+            trace.close();
+            return Err(SendFault::NoConnection);
+        }
+        Ok(_) | Err(LinkError::Silent) => {}
+    }
     let response = result.map_err(|err| match err {
-        LinkError::Connect | LinkError::Unsent => SendFault::NoConnection,
+        LinkError::Connect | LinkError::Refused | LinkError::Unsent => SendFault::NoConnection,
         LinkError::Silent => SendFault::Silent,
         LinkError::Broken { .. } | LinkError::TooLarge { .. } | LinkError::Malformed(_) => {
             SendFault::Broken
         }
     })?;
     let (parts, body) = response.into_parts();
-    let head = core.dialect.parse_response(&parts, id);
+    let head = core.dialect.parse_response(&parts, request.id);
     if !head.same_request {
         return Err(SendFault::Mismatch);
     }
+    link.exposures().answered(core.clock.now());
     notices::apply(core, link, &parts, &head);
-    let lease = Lease { link: link.clone(), dialed, keep: head.keep_alive, permit, _open: open };
+    let lease =
+        Lease { link: link.clone(), dialed, keep: head.keep_alive, permit, trace, _open: open };
     Ok(Answered { head, parts, body, lease })
 }
 
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -3,7 +3,7 @@
 //!
 //! A host that reads the store answers the queries of the others; see [`sched::store_reader`].
 
-use base::{DomainId, Ms};
+use base::{DomainId, Ms, Suspect};
 use bytes::Bytes;
 use catalog::{Build, Delta, Entry, Position, TargetState, Update};
 use flate2::Compression;
@@ -12,10 +12,12 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use thiserror::Error;
 use wire::{
-    BuildList, Evacuation, ListedBuild, PartList, StoreNews, StoreQuery, TargetEntry, TargetUpdate,
+    BuildList, Evacuation, ListedBuild, StoreNews, StoreQuery, SuspectList, TargetEntry,
+    TargetUpdate,
 };
 
 use crate::core::{Core, Source};
+use crate::diagnose;
 use crate::directory::{Declared, Directory, DirectoryError};
 
 /// Longest wait that a query may ask for.
@@ -90,7 +92,7 @@
         let fresh = query.urgent && is_fresh(core);
         let newer = core.gate.evacuations().changed() > Position::unpack(query.evacuation);
         let newer = newer || core.builds().position() > Position::unpack(query.builds);
-        let newer = newer || core.poison_parts().position() > Position::unpack(query.parts);
+        let newer = newer || core.quarantine().position() > Position::unpack(query.suspects);
         let changed = newer || !news.catalog.is_empty() || !news.updates.is_empty();
         // The host that asks urgently is told at once, and asks another.
         let failed = query.urgent && core.read_failed() >= arrived;
@@ -139,7 +141,7 @@
         lapse_ms: core.keep_missing_for().0,
         evacuation: evacuation(core, arrived),
         builds: builds(core, query.builds),
-        parts: parts(core, query.parts),
+        suspects: suspects(core, query.suspects),
     }
 }
 
@@ -158,11 +160,12 @@
     })
 }
 
-/// The parts of prompts that end engines, if the list is newer than the one known up to `known`.
-fn parts(core: &Core, known: u64) -> Option<PartList> {
-    let parts = core.poison_parts();
-    let position = parts.position().filter(|held| Some(*held) > Position::unpack(known))?;
-    Some(PartList { revision: position.pack(), parts: parts.listed() })
+/// What ends targets, if the list is newer than the one known up to `known`.
+fn suspects(core: &Core, known: u64) -> Option<SuspectList> {
+    let held = core.quarantine();
+    let position = held.position().filter(|held| Some(*held) > Position::unpack(known))?;
+    let suspects = held.listed().into_iter().map(diagnose::to_wire).collect();
+    Some(SuspectList { revision: position.pack(), suspects })
 }
 
 fn evacuation(core: &Core, arrived: Ms) -> Option<Evacuation> {
@@ -220,10 +223,11 @@
     if let Some(list) = &news.builds {
         apply_builds(core, list);
     }
-    let parts = news.parts.as_ref();
-    let parts = parts.and_then(|list| Some((Position::unpack(list.revision)?, list)));
-    if let Some((position, list)) = parts {
-        core.apply_parts(position, &list.parts);
+    let suspects = news.suspects.as_ref();
+    let suspects = suspects.and_then(|list| Some((Position::unpack(list.revision)?, list)));
+    if let Some((position, list)) = suspects {
+        let listed: Vec<Suspect> = list.suspects.iter().filter_map(diagnose::from_wire).collect();
+        core.apply_quarantine(position, &listed);
     }
     // Evacuations come before the targets, so that no target of an evacuated domain gets a request.
     let evacuation = news.evacuation.as_ref();
--- a/crates/edge/src/source.rs
+++ b/crates/edge/src/source.rs
@@ -84,7 +84,7 @@
 
 fn loaded(core: &Core) -> bool {
     let declared = core.version().is_some() && core.knows_evacuations();
-    declared && core.position().is_some() && core.knows_builds() && core.knows_parts()
+    declared && core.position().is_some() && core.knows_builds() && core.knows_quarantine()
 }
 
 fn next_step(core: &Core) -> Step {
@@ -135,7 +135,7 @@
         urgent: core.proof_overdue(),
         evacuation: core.gate.evacuations().known().map_or(0, Position::pack),
         builds: core.builds().position().map_or(0, Position::pack),
-        parts: core.poison_parts().position().map_or(0, Position::pack),
+        suspects: core.quarantine().position().map_or(0, Position::pack),
     };
     let sent = core.clock.now();
     let paused = core.pauses.lost();
--- a/crates/edge/src/stages/work.rs
+++ b/crates/edge/src/stages/work.rs
@@ -35,6 +35,7 @@
             workspace: self.workspace().to_owned(),
             later: self.later(i),
             holder: self.app.core.members.as_holder(),
+            request_key: self.call.suspects.stage_key(i),
         }
     }
 
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -28,7 +28,7 @@
         done = stages::run(&app, &call, turn) => done,
         // A stream that began now would be truncated at the end of the host's grace period.
         () = app.refuses_unsent() => Err(Reason::Stopping),
-        () = core.poisoned(&call.head) => Err(Reason::PoisonPart),
+        blocked = core.poisoned(&call.suspects) => Err(blocked.into()),
     };
     let results = match done {
         Ok(results) => results,
--- a/crates/link/src/client.rs
+++ b/crates/link/src/client.rs
@@ -6,6 +6,7 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::{Mutex, PoisonError};
@@ -61,6 +62,7 @@
     sender: SendRequest<Body>,
     head: Option<PendingHead>,
     reused: bool,
+    opened: Instant,
     last_used: Instant,
 }
 
@@ -90,7 +92,13 @@
     /// Opens a stream to the pool's address.
     pub async fn open(&self) -> Result<TcpStream, LinkError> {
         let open = timeout(self.config.connect_ms.duration(), TcpStream::connect(self.addr));
-        let tcp = open.await.map_err(|_| LinkError::Connect)?.map_err(|_| LinkError::Connect)?;
+        let tcp = match open.await {
+            Ok(Ok(tcp)) => tcp,
+            Ok(Err(err)) if err.kind() == ErrorKind::ConnectionRefused => {
+                return Err(LinkError::Refused);
+            }
+            Ok(Err(_)) | Err(_) => return Err(LinkError::Connect),
+        };
         // With Nagle's algorithm, small requests would wait for the peer's delayed acknowledgement.
         tcp.set_nodelay(true).map_err(|_| LinkError::Connect)?;
         Ok(tcp)
@@ -142,6 +150,12 @@
         idle.iter().any(|conn| conn.sender.is_ready() && conn.last_used.elapsed() < max_idle)
     }
 
+    /// Whether an idle connection that can still be used was opened longer ago than this.
+    pub fn holds_older_than(&self, age: Ms) -> bool {
+        let idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        idle.iter().any(|conn| conn.sender.is_ready() && conn.opened.elapsed() > age.duration())
+    }
+
     /// Takes an idle connection that can still be used, if there is one.
     pub fn idle(&self) -> Option<Conn> {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
@@ -167,7 +181,8 @@
             // The error is also returned to the caller that waits for the response.
             let _ = conn.await;
         });
-        Ok(Self { sender, head: None, reused: false, last_used: Instant::now() })
+        let now = Instant::now();
+        Ok(Self { sender, head: None, reused: false, opened: now, last_used: now })
     }
 
     /// Sends a request and waits for the response's head, for at most `silence`.
--- a/crates/link/src/error.rs
+++ b/crates/link/src/error.rs
@@ -8,6 +8,9 @@
     /// No connection could be opened; nothing was sent.
     #[error("no connection could be made")]
     Connect,
+    /// The address refused the connection: nobody listens there.
+    #[error("the connection was refused")]
+    Refused,
     /// The connection closed before the request was handed to it; nothing was sent.
     #[error("the connection closed before the request was sent")]
     Unsent,
--- a/crates/model/src/parts.rs
+++ b/crates/model/src/parts.rs
@@ -5,7 +5,7 @@
 //! Sound requests and bad ones share first parts and come to all hosts. Engines that end break all
 //! requests on them, which their hosts send once more, and come back some seconds later.
 
-use base::{Ms, TargetId};
+use base::{Ms, Suspect, TargetId};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use sched::sound::SoundParts;
@@ -293,7 +293,8 @@
         let mut seen: HashSet<(usize, u64)> = HashSet::new();
         for job in suspects {
             let parts = &job.parts;
-            self.ends.record(&BrokenRequest { target: &target, parts, sent: job.sent, at: now });
+            let (target, sent) = (&target, job.sent);
+            self.ends.record(&BrokenRequest { target, request: None, parts, sent, at: now });
             let host = if self.design == Design::Own { job.host } else { 0 };
             seen.extend(parts.iter().map(|part| (host, *part)));
         }
@@ -323,24 +324,25 @@
     }
 
     fn diagnose_together(&mut self, now: Ms) -> bool {
-        let told: HashMap<u64, Observed> = self
+        let told: HashMap<Suspect, Observed> = self
             .ends
             .candidates()
             .into_iter()
             .map(|c| {
                 let others = self.sound.since(c.since) as u64;
-                (c.part, Observed { sound: self.sound.last(c.part), others })
+                let sound = c.suspect.part().and_then(|part| self.sound.last(part));
+                (c.suspect, Observed { sound, others })
             })
             .collect();
         let found = self.ends.diagnose(&told);
         let Some(diagnosis) = found.or_else(|| self.ends.diagnose_moment(&told, now)) else {
-            for (part, told) in &told {
-                told.sound.into_iter().for_each(|sound| self.ends.cleared(*part, sound));
+            for (suspect, told) in &told {
+                told.sound.into_iter().for_each(|sound| self.ends.cleared(*suspect, sound));
             }
             return false;
         };
-        self.ends.quarantined(diagnosis.part);
-        self.known.insert((0, diagnosis.part));
+        self.ends.quarantined(diagnosis.suspect);
+        self.known.extend(diagnosis.suspect.part().map(|part| (0, part)));
         self.note_found(now);
         true
     }
--- a/crates/model/src/stages/requests.rs
+++ b/crates/model/src/stages/requests.rs
@@ -69,6 +69,7 @@
             reads: 0,
             home: None,
             residency: Residency::Anywhere,
+            key: None,
         };
         let (service, host, count) = (declared.service, request.host, request.remaining[stage]);
         let composer = self.composer(service, host);
--- a/crates/sched/src/batch/types.rs
+++ b/crates/sched/src/batch/types.rs
@@ -49,6 +49,9 @@
     pub home: Option<DomainId>,
     /// Regions in which its request may be processed.
     pub residency: Residency,
+    /// Key of its request at this stage, under which ends of targets are counted; none if it isn't
+    /// known.
+    pub key: Option<u64>,
 }
 
 /// How a piece ended.
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -22,7 +22,6 @@
 //! | [`reach`] | a host has lost its links to all targets of a service | it refuses what other hosts could serve |
 //! | [`connections`] | a target accepts a limited number of connections from all hosts together | each host opens what it wants, and the target resets connections with requests on them |
 //! | [`detour`] | a host that is cut off needs a way through others | it waits for hosts that are cut off too |
-//! | [`poison`] | a request crashes every target that runs it | its retries take down one target after the other |
 //! | [`suspects`] | a part of prompts ends every engine that begins to answer it | new requests with it take down one engine after the other |
 //! | [`suspects::moment`] | such a part ends many engines at one moment | it counts as an outage until the next engines end |
 //! | [`sound`] | sound requests share parts with those that end engines | sound requests are refused with them |
@@ -52,7 +51,6 @@
 pub mod origins;
 pub mod pace;
 pub mod placement;
-pub mod poison;
 pub mod prefill;
 pub mod reach;
 pub mod retry_after;
--- a/crates/sched/src/suspects.rs
+++ b/crates/sched/src/suspects.rs
@@ -1,4 +1,4 @@
-//! Finds the part of prompts that ends engines.
+//! Finds what ends targets: a part of prompts, or a request as a whole, see [`request`].
 //!
 //! Pattern: a part of a prompt ends each engine that begins to answer a request with it. The requests
 //! are new ones, no two alike, and come to all hosts, so that no request and no host sees enough to
@@ -18,12 +18,12 @@
 //! - and, if it ever had a sound answer, engines serve other parts meanwhile: an outage of everything
 //!   is nobody's fault.
 //!
-//! Ends that a quarantined part explains are no evidence against others. A request that crashes engines
-//! by what only it has is found by [`crate::poison`].
+//! Ends that a quarantined part explains are no evidence against others.
 
 pub mod moment;
+pub mod request;
 
-use base::{Ms, TargetId, hash_parts};
+use base::{Ms, Suspect, TargetId, hash_parts};
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 
 /// Time after the beginning of an answer within which its request may have ended the engine. An
@@ -37,7 +37,9 @@
 pub const DIAGNOSERS: usize = 2;
 /// Number of suspected parts that hosts are asked about at once: the ones with the most ends.
 const MAX_CANDIDATES: usize = 32;
-/// Ends of engines that are remembered: about 2 KB each.
+/// Ends that a suspect must have before hosts are asked about it.
+const LEAST_ENDS: usize = 3;
+/// Ends of targets that are remembered: about 2 KB each.
 const MAX_ENDS: usize = 512;
 /// Distinct prompts of an end that are remembered.
 const MAX_PROMPTS: usize = 64;
@@ -87,11 +89,11 @@
 /// refuses a whole kind of requests.
 const KNOWN_PART: Threshold = Threshold { ends: 8, episodes: 4 };
 
-/// A part about which hosts are asked.
+/// A suspect about which hosts are asked.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Candidate {
-    /// The part.
-    pub part: u64,
+    /// The suspect.
+    pub suspect: Suspect,
     /// Since when its newest ends, as many as it takes for a known part, have happened.
     pub since: Ms,
 }
@@ -105,11 +107,11 @@
     pub others: u64,
 }
 
-/// A part that ends engines.
+/// What ends targets.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Diagnosis {
-    /// The part.
-    pub part: u64,
+    /// The part or the request.
+    pub suspect: Suspect,
     /// The incarnations of engines that have ended with it.
     pub targets: Vec<TargetId>,
     /// At how many moments they ended.
@@ -118,12 +120,14 @@
     pub known: bool,
 }
 
-/// A request that broke with its engine.
+/// A request that a target may have begun to run when it ended.
 #[derive(Clone, Copy, Debug)]
 pub struct BrokenRequest<'a> {
-    /// The engine's incarnation, as it was registered.
+    /// The target's incarnation, as it was registered.
     pub target: &'a TargetId,
-    /// The shared parts of the prompt, in order.
+    /// Its key; none if it isn't known.
+    pub request: Option<u64>,
+    /// The shared parts of the prompt, in order; empty unless the target had just begun to answer it.
     pub parts: &'a [u64],
     /// When it was sent.
     pub sent: Ms,
@@ -131,45 +135,71 @@
     pub at: Ms,
 }
 
-/// The end of one incarnation of an engine.
+/// The end of one incarnation of a target.
 #[derive(Debug)]
 struct End {
     at: Ms,
     target: TargetId,
-    /// Shared parts of the requests on it.
-    parts: HashMap<u64, Carried>,
+    /// The requests on it and the shared parts of their prompts.
+    carried: HashMap<Suspect, Carried>,
     /// The shared parts of each of these requests, without repeats.
     prompts: HashSet<Box<[u64]>>,
     /// Whether a quarantined part was among them.
     explained: bool,
+    /// Whether a quarantined part or request was among them.
+    solved: bool,
 }
 
 impl End {
+    /// Whether nothing that is quarantined explains it. A request explains nothing to parts: each
+    /// request with a bad part would hide the end that it was at.
+    fn is_open(&self, suspect: Suspect) -> bool {
+        match suspect {
+            Suspect::Part(_) => !self.explained,
+            Suspect::Request(_) => !self.solved,
+        }
+    }
+
     fn new(at: Ms, target: TargetId) -> Self {
-        let (parts, prompts) = (HashMap::new(), HashSet::new());
-        Self { at, target, parts, prompts, explained: false }
+        let (carried, prompts) = (HashMap::new(), HashSet::new());
+        Self { at, target, carried, prompts, explained: false, solved: false }
     }
 }
 
-/// A part that requests on an engine had in common.
-#[derive(Clone, Copy, Debug, Default)]
+/// A suspect that requests on a target had in common.
+#[derive(Clone, Debug, Default)]
 struct Carried {
     /// Its last place in a prompt.
     place: usize,
     /// When the last of these requests was sent.
     sent: Ms,
+    /// Their keys, two at most.
+    requests: Vec<u64>,
+}
+
+impl Carried {
+    fn add(&mut self, place: usize, broken: &BrokenRequest<'_>) {
+        self.place = place.max(self.place);
+        self.sent = broken.sent.max(self.sent);
+        match broken.request {
+            Some(key) if self.requests.len() < 2 && !self.requests.contains(&key) => {
+                self.requests.push(key);
+            }
+            _ => {}
+        }
+    }
 }
 
-/// Ends of engines, as reported by all hosts.
+/// Ends of targets, as reported by all hosts.
 #[derive(Debug, Default)]
 pub struct Ends {
     ends: VecDeque<End>,
-    /// Quarantined parts; they explain the ends to come too.
-    quarantined: HashSet<u64>,
+    /// What is quarantined; it explains the ends to come too.
+    quarantined: HashSet<Suspect>,
 }
 
 impl Ends {
-    /// Records that a request broke with its engine.
+    /// Records a request that a target may have begun to run when it ended.
     ///
     /// An engine may have started again before its new registration is known. A request that was
     /// sent after it had ended shows that, and breaks at another end.
@@ -183,35 +213,37 @@
             self.ends.len() - 1
         });
         let end = &mut self.ends[at];
-        for (place, part) in broken.parts.iter().enumerate() {
-            let carried = end.parts.entry(*part).or_default();
-            carried.place = place.max(carried.place);
-            carried.sent = broken.sent.max(carried.sent);
-            end.explained |= self.quarantined.contains(part);
+        let parts = broken.parts.iter().map(|part| Suspect::Part(*part));
+        for (place, suspect) in parts.chain(broken.request.map(Suspect::Request)).enumerate() {
+            end.carried.entry(suspect).or_default().add(place, broken);
+            let known = self.quarantined.contains(&suspect);
+            end.solved |= known;
+            end.explained |= known && suspect.part().is_some();
         }
-        if end.prompts.len() < MAX_PROMPTS {
+        if end.prompts.len() < MAX_PROMPTS && !broken.parts.is_empty() {
             end.prompts.insert(broken.parts.into());
         }
     }
 
-    /// The parts that may have to be quarantined, those with the most ends first.
+    /// What may have to be quarantined, suspects with the most ends first.
     pub fn candidates(&self) -> Vec<Candidate> {
-        let mut ends: BTreeMap<u64, Vec<Ms>> = BTreeMap::new();
+        let mut ends: BTreeMap<Suspect, Vec<Ms>> = BTreeMap::new();
+        let mut open: HashSet<Suspect> = HashSet::new();
         for end in &self.ends {
-            end.parts.keys().for_each(|part| ends.entry(*part).or_default().push(end.at));
+            end.carried.keys().for_each(|suspect| ends.entry(*suspect).or_default().push(end.at));
+            open.extend(end.carried.keys().filter(|suspect| end.is_open(**suspect)));
         }
-        let open: Vec<u64> = self.unexplained().flat_map(|end| end.parts.keys().copied()).collect();
-        ends.retain(|part, at| at.len() >= NEW_PART.ends - 1 && open.contains(part));
-        let mut ends: Vec<(u64, Vec<Ms>)> = ends.into_iter().collect();
+        ends.retain(|suspect, at| at.len() >= LEAST_ENDS && open.contains(suspect));
+        let mut ends: Vec<(Suspect, Vec<Ms>)> = ends.into_iter().collect();
         ends.sort_by_key(|(_, at)| std::cmp::Reverse(at.len()));
         ends.truncate(MAX_CANDIDATES);
         let since = |at: &[Ms]| at[at.len().saturating_sub(KNOWN_PART.ends)];
-        ends.into_iter().map(|(part, at)| Candidate { part, since: since(&at) }).collect()
+        ends.into_iter().map(|(suspect, at)| Candidate { suspect, since: since(&at) }).collect()
     }
 
     /// The part to quarantine, by what hosts have told of the candidates.
-    pub fn diagnose(&self, told: &HashMap<u64, Observed>) -> Option<Diagnosis> {
-        let cases: Vec<Case> = told.iter().map(|(part, told)| self.case(*part, *told)).collect();
+    pub fn diagnose(&self, told: &HashMap<Suspect, Observed>) -> Option<Diagnosis> {
+        let cases: Vec<Case> = self.part_cases(told).collect();
         let (known, new): (Vec<&Case>, Vec<&Case>) = cases.iter().partition(|c| c.known);
         let narrower =
             |a: &Case, b: &Case| b.place > a.place && LEAST_RIVAL * b.ends.len() >= a.ends.len();
@@ -230,33 +262,48 @@
         Some(case.diagnosis())
     }
 
-    /// Marks the ends that a quarantined part explains.
-    pub fn quarantined(&mut self, part: u64) {
-        self.quarantined.insert(part);
-        self.ends.iter_mut().for_each(|end| end.explained |= end.parts.contains_key(&part));
+    /// Marks the ends that what is quarantined now explains.
+    pub fn quarantined(&mut self, suspect: Suspect) {
+        self.quarantined.insert(suspect);
+        for end in self.ends.iter_mut().filter(|end| end.carried.contains_key(&suspect)) {
+            end.solved = true;
+            end.explained |= suspect.part().is_some();
+        }
     }
 
-    /// Drops the evidence against a part up to `sound`, when a sound answer with it began.
-    pub fn cleared(&mut self, part: u64, sound: Ms) {
+    /// Drops the evidence against a suspect up to `sound`, when a sound answer with it began.
+    pub fn cleared(&mut self, suspect: Suspect, sound: Ms) {
         for end in self.ends.iter_mut().filter(|end| end.at <= sound) {
-            end.parts.remove(&part);
+            end.carried.remove(&suspect);
         }
     }
 
-    /// Forgets all that spoke against a part: an operator has lifted its quarantine.
-    pub fn lifted(&mut self, part: u64) {
-        self.quarantined.remove(&part);
-        self.ends.retain(|end| !end.parts.contains_key(&part));
+    /// Forgets all that spoke against a suspect: an operator has lifted its quarantine.
+    pub fn lifted(&mut self, suspect: Suspect) {
+        self.quarantined.remove(&suspect);
+        self.ends.retain(|end| !end.carried.contains_key(&suspect));
     }
 
     fn unexplained(&self) -> impl Iterator<Item = &End> {
         self.ends.iter().filter(|end| !end.explained)
     }
 
-    fn case(&self, part: u64, told: Observed) -> Case<'_> {
+    /// What speaks against each part, by what hosts have told.
+    fn part_cases<'a>(
+        &'a self,
+        told: &'a HashMap<Suspect, Observed>,
+    ) -> impl Iterator<Item = Case<'a>> {
+        told.iter().filter_map(|(suspect, told)| Some(self.case(suspect.part()?, *told)))
+    }
+
+    /// Ends with a suspect after its last sound answer.
+    fn counted(&self, suspect: Suspect, told: Observed) -> Vec<&End> {
         let after = |end: &&End| told.sound.is_none_or(|sound| sound < end.at);
-        let counted = self.ends.iter().filter(|end| end.parts.contains_key(&part)).filter(after);
-        let ends: Vec<&End> = counted.collect();
+        self.ends.iter().filter(|end| end.carried.contains_key(&suspect)).filter(after).collect()
+    }
+
+    fn case(&self, part: u64, told: Observed) -> Case<'_> {
+        let ends = self.counted(Suspect::Part(part), told);
         let span = ends.first().zip(ends.last()).map(|(first, last)| (first.at, last.at));
         let within = |at: Ms| span.is_some_and(|(first, last)| (first..=last).contains(&at));
         Case {
@@ -297,11 +344,19 @@
         let open = self.ends.iter().filter(|end| !end.explained).count();
         let enough = threshold.is_reached(self.ends.len(), self.episodes);
         let engines_work = !self.known || self.others >= OTHER_ANSWERS;
+        let several = self.is_in_several_requests();
         let explains = match self.known {
             true => 100 * open >= KNOWN_SHARE_PERCENT * self.rivals,
             false => LEAST_SHARE * open >= self.rivals,
         };
-        enough && open > 0 && explains && engines_work
+        enough && open > 0 && explains && engines_work && several
+    }
+
+    /// Whether more than one request had the part. Otherwise it is the request that ends engines.
+    fn is_in_several_requests(&self) -> bool {
+        let mut keys = carried(&self.ends, self.part).flat_map(|(_, c)| &c.requests);
+        let first = keys.next();
+        first.is_none() || keys.any(|key| Some(key) != first)
     }
 
     /// Parts with more ends come first, and of two with the same ends the one that fewer prompts
@@ -312,7 +367,7 @@
 
     fn diagnosis(&self) -> Diagnosis {
         Diagnosis {
-            part: self.part,
+            suspect: Suspect::Part(self.part),
             targets: self.ends.iter().map(|end| end.target.clone()).collect(),
             episodes: self.episodes,
             known: self.known,
@@ -321,7 +376,7 @@
 }
 
 fn carried<'a>(ends: &[&'a End], part: u64) -> impl Iterator<Item = (Ms, &'a Carried)> {
-    ends.iter().filter_map(move |end| Some((end.at, end.parts.get(&part)?)))
+    ends.iter().filter_map(move |end| Some((end.at, end.carried.get(&Suspect::Part(part))?)))
 }
 
 /// Number of moments at which engines ended with a part. Requests that were sent before an outage make
--- a/crates/sched/src/suspects/moment.rs
+++ b/crates/sched/src/suspects/moment.rs
@@ -15,7 +15,7 @@
 //!
 //! Without such answers, the first end at another moment is sufficient; it is judged immediately.
 
-use base::Ms;
+use base::{Ms, Suspect};
 use std::collections::HashMap;
 
 use super::{Case, Diagnosis, EPISODE, EQUAL_PERCENT, End, Ends, Observed};
@@ -32,10 +32,9 @@
 impl Ends {
     /// The part to quarantine by the ends of one moment, by what hosts have told of the candidates
     /// at `now`.
-    pub fn diagnose_moment(&self, told: &HashMap<u64, Observed>, now: Ms) -> Option<Diagnosis> {
+    pub fn diagnose_moment(&self, told: &HashMap<Suspect, Observed>, now: Ms) -> Option<Diagnosis> {
         let settled = |case: &Case| case.ends.last().is_some_and(|end| now - end.at >= SETTLE_TIME);
-        let cases = told.iter().map(|(part, told)| self.case(*part, *told));
-        let new: Vec<Case> = cases.filter(|case| !case.known).collect();
+        let new: Vec<Case> = self.part_cases(told).filter(|case| !case.known).collect();
         let proved = new.iter().filter(|case| settled(case)).filter(|case| case.is_sole(self));
         let alone = proved.filter(|case| !new.iter().any(|other| case.has_rival(other)));
         alone.max_by_key(|case| case.rank()).map(Case::diagnosis)
@@ -55,8 +54,9 @@
     /// diagnosis need not wait for more reports.
     pub fn is_confirmed(&self) -> bool {
         let Some(last) = self.unexplained().last() else { return false };
-        last.parts.iter().any(|(part, carried)| {
-            let earlier = |end: &&End| carried.sent > end.at && end.parts.contains_key(part);
+        let parts = last.carried.iter().filter(|(suspect, _)| suspect.part().is_some());
+        parts.into_iter().any(|(part, carried)| {
+            let earlier = |end: &&End| carried.sent > end.at && end.carried.contains_key(part);
             self.unexplained().filter(earlier).count() >= MIN_ENDS
         })
     }
--- a/crates/sched/tests/chains/mod.rs
+++ b/crates/sched/tests/chains/mod.rs
@@ -259,6 +259,7 @@
             reads: 0,
             home: None,
             residency: Residency::Anywhere,
+            key: None,
         };
         let first = id * 100 + s as u64 * 10;
         let numbered = |i: u32| (PieceId(first + u64::from(i)), piece(i));
--- a/crates/sched/tests/common/mod.rs
+++ b/crates/sched/tests/common/mod.rs
@@ -107,6 +107,7 @@
                 reads: 0,
                 home: None,
                 residency: Residency::Anywhere,
+                key: None,
             };
             with(&mut piece);
             self.next += 1;
--- a/crates/sched/tests/load.rs
+++ b/crates/sched/tests/load.rs
@@ -149,6 +149,7 @@
             reads: 0,
             home: None,
             residency: Residency::Anywhere,
+            key: None,
         };
         let pieces = (0..PIECES).map(|i| (PieceId(request * PIECES + i), piece(i))).collect();
         self.feed(host, Event::Submit(pieces));
--- a/crates/sched/tests/moment.rs
+++ b/crates/sched/tests/moment.rs
@@ -1,6 +1,6 @@
 //! Tests of the evidence by which one moment at which many engines end is told from an outage.
 
-use base::{Ms, TargetId};
+use base::{Ms, Suspect, TargetId};
 use sched::suspects::{BrokenRequest, Ends, Observed};
 use std::collections::HashMap;
 
@@ -17,7 +17,8 @@
 fn end(ends: &mut Ends, number: u64, at: u64, prompts: &[&[u64]]) {
     let target = TargetId::from(format!("i-{number}@1"));
     for parts in prompts {
-        ends.record(&BrokenRequest { target: &target, parts, sent: Ms(at - 100), at: Ms(at) });
+        let (target, sent, at) = (&target, Ms(at - 100), Ms(at));
+        ends.record(&BrokenRequest { target, request: None, parts, sent, at });
     }
 }
 
@@ -31,14 +32,16 @@
 }
 
 /// What hosts tell of all candidates, some of which had sound answers.
-fn told(ends: &Ends, sound: &[(u64, u64)], others: u64) -> HashMap<u64, Observed> {
-    let sound: HashMap<u64, Ms> = sound.iter().map(|(part, at)| (*part, Ms(*at))).collect();
-    let observed = |part: u64| Observed { sound: sound.get(&part).copied(), others };
-    ends.candidates().iter().map(|c| (c.part, observed(c.part))).collect()
+fn told(ends: &Ends, sound: &[(u64, u64)], others: u64) -> HashMap<Suspect, Observed> {
+    let sound = sound.iter().map(|(part, at)| (Suspect::Part(*part), Ms(*at)));
+    let sound: HashMap<Suspect, Ms> = sound.collect();
+    let observed = |suspect: Suspect| Observed { sound: sound.get(&suspect).copied(), others };
+    ends.candidates().iter().map(|c| (c.suspect, observed(c.suspect))).collect()
 }
 
 fn found(ends: &Ends, sound: &[(u64, u64)], others: u64, now: Ms) -> Option<u64> {
-    ends.diagnose_moment(&told(ends, sound, others), now).map(|diagnosis| diagnosis.part)
+    ends.diagnose_moment(&told(ends, sound, others), now)
+        .and_then(|diagnosis| diagnosis.suspect.part())
 }
 
 // Guards against a part that takes eight engines down at once and counts as an outage.
@@ -115,7 +118,7 @@
     end(&mut ends, 41, MOMENT + 4_100, &[&[302, BAD]]);
     assert!(ends.is_confirmed());
     let diagnosis = ends.diagnose(&told(&ends, &[], 0)).unwrap();
-    assert_eq!((diagnosis.part, diagnosis.episodes), (BAD, 2));
+    assert_eq!((diagnosis.suspect, diagnosis.episodes), (Suspect::Part(BAD), 2));
 }
 
 // Guards against a moment that is never judged because nothing else ends, and against one that is
@@ -127,7 +130,7 @@
     assert_eq!(ends.next_look(Ms(MOMENT + 300)), Some(Ms(last + 3_000)));
     assert_eq!(ends.next_look(Ms(last + 3_000)), Some(Ms(last + 6_000)));
     assert_eq!(ends.next_look(Ms(last + 12_000)), None);
-    ends.quarantined(BAD);
+    ends.quarantined(Suspect::Part(BAD));
     assert_eq!(ends.next_look(Ms(MOMENT + 300)), None);
     assert_eq!(burst(7).next_look(Ms(MOMENT + 300)), None);
 }
--- a/crates/sched/tests/small.rs
+++ b/crates/sched/tests/small.rs
@@ -1,11 +1,10 @@
-//! Tests of poison detection, health, estimates, sampling and the delay before a
+//! Tests of health, estimates, sampling and the delay before a
 //! retry.
 
-use base::{Ms, PoolId, TargetId};
+use base::{Ms, PoolId};
 use catalog::{Backend, Batch, Residency, RetrySafety, Route, Stage};
 use sched::estimate::Estimate;
 use sched::health::{Health, Outcome, Unanswered};
-use sched::poison::{POISON_THRESHOLD, Poison, RETENTION, Recipients, recipients};
 use sched::retry_after::retry_after;
 use sched::sample::Sampler;
 
@@ -13,44 +12,6 @@
     PoolId::from("register")
 }
 
-// Guards against targets crashing one after the other, because one request brings down each target
-// that runs it and its caller sends it again through any host. Breaks at three different targets
-// make it a poison request; a second break at the same one doesn't count.
-#[test]
-fn a_request_that_broke_three_targets_is_poison() {
-    let mut poison = Poison::default();
-    for target in ["a", "b", "b"] {
-        poison.record(Ms(0), 7, &TargetId::from(target));
-    }
-    assert!(!poison.is_poison(Ms(1), 7));
-    assert!(poison.record(Ms(1), 7, &TargetId::from("c")));
-    assert_eq!(poison.broken(7).len(), POISON_THRESHOLD);
-    assert!(poison.is_poison(Ms(2), 7));
-    assert!(!poison.is_poison(Ms(2), 8));
-    assert!(!poison.is_poison(Ms(2) + RETENTION, 7));
-}
-
-// Guards against refusing a healthy request for a minute after connections broke under three reads
-// of the same record, far apart during a burst, with successful responses in between.
-#[test]
-fn a_successful_response_clears_earlier_breaks() {
-    let mut poison = Poison::default();
-    poison.record(Ms(0), 7, &TargetId::from("a@1"));
-    poison.record(Ms(1), 7, &TargetId::from("b@1"));
-    poison.clear(7);
-    poison.record(Ms(2), 7, &TargetId::from("c@1"));
-    assert!(!poison.is_poison(Ms(3), 7));
-}
-
-#[test]
-fn incarnations_of_one_target_count_separately() {
-    let mut poison = Poison::default();
-    for incarnation in ["a@1", "a@1", "a@2", "a@3"] {
-        poison.record(Ms(0), 7, &TargetId::from(incarnation));
-    }
-    assert!(poison.is_poison(Ms(1), 7));
-}
-
 #[test]
 fn a_target_without_connection_is_ejected_and_tried_once_later() {
     let mut health = Health::default();
@@ -183,15 +144,3 @@
     assert!(written.len() < 90, "{}", written.len());
     assert!((950..=1_000).contains(&written.iter().sum::<u64>()));
 }
-
-// Guards against requests being held up for a second on every host when a quarter of a large
-// fleet's engines crash and each host tells all others of each request that broke. One host counts
-// the breaks of a request; all hosts hear of it from the second break on, and in a small fleet from
-// the first.
-#[test]
-fn all_hosts_are_told_of_a_break_in_a_small_fleet_or_of_a_repeated_one() {
-    assert_eq!(recipients(6, 1), Recipients::All);
-    assert_eq!(recipients(295, 1), Recipients::Counter);
-    assert_eq!(recipients(295, 2), Recipients::All);
-    assert_eq!(recipients(295, POISON_THRESHOLD), Recipients::All);
-}
--- a/crates/sched/tests/suspects.rs
+++ b/crates/sched/tests/suspects.rs
@@ -1,6 +1,6 @@
 //! Tests of the search for parts of prompts that end engines.
 
-use base::{Ms, TargetId};
+use base::{Ms, Suspect, TargetId};
 use sched::sound::SoundParts;
 use sched::suspects::{BrokenRequest, COLLECTORS, Diagnosis, Ends, Observed, collectors};
 use std::collections::HashMap;
@@ -26,20 +26,22 @@
         self.count += 1;
         for parts in prompts {
             let sent = Ms(at - 100);
-            self.ends.record(&BrokenRequest { target: &target, parts, sent, at: Ms(at) });
+            let (target, at) = (&target, Ms(at));
+            self.ends.record(&BrokenRequest { target, request: None, parts, sent, at });
         }
     }
 
     /// The diagnosis if sound answers began at these times, and `others` more.
     fn diagnose(&self, sound: &[(u64, u64)], others: u64) -> Option<Diagnosis> {
-        let sound: HashMap<u64, Ms> = sound.iter().map(|(part, at)| (*part, Ms(*at))).collect();
-        let told = |part: u64| Observed { sound: sound.get(&part).copied(), others };
+        let sound = sound.iter().map(|(part, at)| (Suspect::Part(*part), Ms(*at)));
+        let sound: HashMap<Suspect, Ms> = sound.collect();
+        let told = |suspect: Suspect| Observed { sound: sound.get(&suspect).copied(), others };
         let candidates = self.ends.candidates();
-        self.ends.diagnose(&candidates.iter().map(|c| (c.part, told(c.part))).collect())
+        self.ends.diagnose(&candidates.iter().map(|c| (c.suspect, told(c.suspect))).collect())
     }
 
     fn part(&self, sound: &[(u64, u64)], others: u64) -> Option<u64> {
-        self.diagnose(sound, others).map(|diagnosis| diagnosis.part)
+        self.diagnose(sound, others).and_then(|diagnosis| diagnosis.suspect.part())
     }
 }
 
@@ -57,7 +59,8 @@
 fn a_part_with_which_four_engines_end_is_quarantined() {
     assert_eq!(spell(3).diagnose(&[], 0), None);
     let diagnosis = spell(4).diagnose(&[], 0).unwrap();
-    assert_eq!((diagnosis.part, diagnosis.targets.len(), diagnosis.episodes), (BAD, 4, 4));
+    let found = (diagnosis.suspect, diagnosis.targets.len(), diagnosis.episodes);
+    assert_eq!(found, (Suspect::Part(BAD), 4, 4));
 }
 
 // Guards against the refusal of all requests that share a first part with the bad ones.
@@ -116,9 +119,9 @@
         spell.end(10_500 + 1_000 * n, &[&[FIRST, ALSO_BAD]]);
     }
     let first = spell.part(&[], 0).unwrap();
-    spell.ends.quarantined(first);
+    spell.ends.quarantined(Suspect::Part(first));
     let second = spell.part(&[], 0).unwrap();
-    spell.ends.quarantined(second);
+    spell.ends.quarantined(Suspect::Part(second));
     assert_eq!([first.min(second), first.max(second)], [BAD, ALSO_BAD]);
     assert_eq!(spell.part(&[], 0), None);
 }
@@ -132,7 +135,7 @@
     }
     spell.end(17_000, &[&[FIRST, BAD]]);
     assert_eq!(spell.part(&[], 0), Some(BAD));
-    spell.ends.quarantined(BAD);
+    spell.ends.quarantined(Suspect::Part(BAD));
     assert_eq!(spell.part(&[], 0), None);
     spell.end(18_000, &[&[FIRST, BAD], &[FIRST, 7]]);
     assert_eq!(spell.part(&[], 0), None);
@@ -147,7 +150,7 @@
         spell.end(10_000 + 1_000 * n, &[&[BAD, 7]]);
     }
     assert_eq!(spell.part(&[], 0), Some(7));
-    spell.ends.quarantined(7);
+    spell.ends.quarantined(Suspect::Part(7));
     spell.end(15_000, &[&[BAD, 8]]);
     assert_eq!(spell.part(&[], 0), Some(BAD));
 }
@@ -159,11 +162,17 @@
     let target = TargetId::from("i-0@1");
     for n in 0..4 {
         let (sent, at) = (Ms(10_000 + 1_000 * n), Ms(10_500 + 1_000 * n));
-        ends.record(&BrokenRequest { target: &target, parts: &[BAD], sent, at });
+        ends.record(&BrokenRequest { target: &target, request: None, parts: &[BAD], sent, at });
         // One more of the same end.
-        ends.record(&BrokenRequest { target: &target, parts: &[7], sent, at: at + Ms(30) });
-    }
-    let told = ends.candidates().iter().map(|c| (c.part, Observed::default())).collect();
+        ends.record(&BrokenRequest {
+            target: &target,
+            request: None,
+            parts: &[7],
+            sent,
+            at: at + Ms(30),
+        });
+    }
+    let told = ends.candidates().iter().map(|c| (c.suspect, Observed::default())).collect();
     assert_eq!(ends.diagnose(&told).unwrap().targets.len(), 4);
 }
 
@@ -171,16 +180,16 @@
 #[test]
 fn a_part_that_was_dismissed_needs_new_ends() {
     let mut spell = spell(5);
-    assert!(spell.ends.candidates().iter().any(|c| c.part == FIRST));
-    spell.ends.cleared(FIRST, Ms(14_500));
-    assert!(spell.ends.candidates().iter().all(|c| c.part != FIRST));
+    assert!(spell.ends.candidates().iter().any(|c| c.suspect == Suspect::Part(FIRST)));
+    spell.ends.cleared(Suspect::Part(FIRST), Ms(14_500));
+    assert!(spell.ends.candidates().iter().all(|c| c.suspect != Suspect::Part(FIRST)));
 }
 
 #[test]
 fn a_lifted_part_needs_as_many_ends_as_before() {
     let mut spell = spell(5);
-    spell.ends.quarantined(BAD);
-    spell.ends.lifted(BAD);
+    spell.ends.quarantined(Suspect::Part(BAD));
+    spell.ends.lifted(Suspect::Part(BAD));
     spell.end(20_000, &[&[FIRST, BAD]]);
     assert_eq!(spell.part(&[], 0), None);
 }
@@ -239,8 +248,8 @@
     for n in 0..22 {
         let target = TargetId::from(format!("i-{n}@1"));
         let (sent, at) = (Ms(9_000), Ms(10_000 + 100 * n));
-        ends.record(&BrokenRequest { target: &target, parts: &[FIRST], sent, at });
+        ends.record(&BrokenRequest { target: &target, request: None, parts: &[FIRST], sent, at });
     }
-    let told = ends.candidates().iter().map(|c| (c.part, Observed::default())).collect();
+    let told = ends.candidates().iter().map(|c| (c.suspect, Observed::default())).collect();
     assert_eq!(ends.diagnose(&told), None);
 }
--- a/crates/wire/src/gen/siskinwheel.v1.rs
+++ b/crates/wire/src/gen/siskinwheel.v1.rs
@@ -741,6 +741,10 @@
     /// The host that submits the work and holds its results; unset if they are held by none.
     #[prost(message, optional, tag = "18")]
     pub holder: ::core::option::Option<Holder>,
+    /// Key of the request at this stage, under which ends of the stage's targets are counted; unset if
+    /// it isn't known.
+    #[prost(uint64, optional, tag = "19")]
+    pub request_key: ::core::option::Option<u64>,
 }
 /// Pieces that a request will bring to a service.
 #[derive(serde::Serialize, serde::Deserialize)]
@@ -873,16 +877,6 @@
     #[prost(bool, tag = "3")]
     pub spare: bool,
 }
-/// A target closed its connection before it answered a request.
-#[derive(serde::Serialize, serde::Deserialize)]
-#[serde(default)]
-#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
-pub struct Crash {
-    #[prost(uint64, tag = "1")]
-    pub fingerprint: u64,
-    #[prost(string, tag = "2")]
-    pub target: ::prost::alloc::string::String,
-}
 /// An engine has processed prompts about a subject. Sent to the host that keeps the list of such
 /// engines.
 #[derive(serde::Serialize, serde::Deserialize)]
@@ -945,8 +939,6 @@
 #[serde(default)]
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct HostNews {
-    #[prost(message, repeated, tag = "1")]
-    pub crashes: ::prost::alloc::vec::Vec<Crash>,
     #[prost(message, repeated, tag = "2")]
     pub reads: ::prost::alloc::vec::Vec<SubjectRead>,
     #[prost(message, repeated, tag = "3")]
@@ -958,60 +950,85 @@
     #[prost(message, repeated, tag = "6")]
     pub ends: ::prost::alloc::vec::Vec<TargetEnd>,
     #[prost(message, repeated, tag = "7")]
-    pub diagnoses: ::prost::alloc::vec::Vec<PartDiagnosis>,
+    pub found: ::prost::alloc::vec::Vec<SuspectFound>,
 }
-/// An engine ended while it had requests that it may have begun to answer just before.
+/// A target ended while it had requests that it may have begun to run.
 #[derive(serde::Serialize, serde::Deserialize)]
 #[serde(default)]
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct TargetEnd {
-    /// The engine, as one of its registrations: an engine that restarts counts as another.
+    /// The target, as one of its registrations: one that restarts counts as another.
     #[prost(string, tag = "1")]
     pub target: ::prost::alloc::string::String,
     #[prost(message, repeated, tag = "2")]
-    pub prompts: ::prost::alloc::vec::Vec<PromptParts>,
+    pub requests: ::prost::alloc::vec::Vec<BrokenRequest>,
 }
 /// One of these requests.
 #[derive(serde::Serialize, serde::Deserialize)]
 #[serde(default)]
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
-pub struct PromptParts {
-    /// The parts of its prompt that other requests share, in order.
+pub struct BrokenRequest {
+    /// The parts of its prompt that other requests share, in order; empty unless the target had just
+    /// begun to answer it.
     #[prost(uint64, repeated, tag = "1")]
     pub parts: ::prost::alloc::vec::Vec<u64>,
-    /// Time since it was sent to the engine, ms.
+    /// Time since it was sent to the target, ms.
     #[prost(uint64, tag = "2")]
     pub sent_ms: u64,
     /// Time since it broke, ms.
     #[prost(uint64, tag = "3")]
     pub broken_ms: u64,
+    /// Its key; unset if it isn't known.
+    #[prost(uint64, optional, tag = "4")]
+    pub request: ::core::option::Option<u64>,
+}
+/// What may end targets.
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(default)]
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Suspect {
+    #[prost(oneof = "suspect::Kind", tags = "1, 2")]
+    pub kind: ::core::option::Option<suspect::Kind>,
+}
+/// Nested message and enum types in `Suspect`.
+pub mod suspect {
+    #[derive(serde::Serialize, serde::Deserialize)]
+    #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Oneof)]
+    pub enum Kind {
+        /// A part of prompts.
+        #[prost(uint64, tag = "1")]
+        Part(u64),
+        /// The key of a request as a whole.
+        #[prost(uint64, tag = "2")]
+        Request(u64),
+    }
 }
-/// A part of prompts that ends each engine which begins to answer a request with it.
+/// A suspect that ends each target which begins to run a request with it.
 #[derive(serde::Serialize, serde::Deserialize)]
 #[serde(default)]
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
-pub struct PartDiagnosis {
-    #[prost(uint64, tag = "1")]
-    pub part: u64,
-    /// Engines that ended with it, identified as in TargetEnd.
+pub struct SuspectFound {
+    #[prost(message, optional, tag = "1")]
+    pub suspect: ::core::option::Option<Suspect>,
+    /// Targets that ended with it, identified as in TargetEnd.
     #[prost(string, repeated, tag = "2")]
     pub targets: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
 }
-/// Asks what a host has seen of parts that are suspected to end engines.
+/// Asks what a host has seen of suspects.
 #[derive(serde::Serialize, serde::Deserialize)]
 #[serde(default)]
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct PartQuery {
     #[prost(message, repeated, tag = "1")]
-    pub parts: ::prost::alloc::vec::Vec<SuspectedPart>,
+    pub suspects: ::prost::alloc::vec::Vec<AskedSuspect>,
 }
 /// One of them.
 #[derive(serde::Serialize, serde::Deserialize)]
 #[serde(default)]
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
-pub struct SuspectedPart {
-    #[prost(uint64, tag = "1")]
-    pub part: u64,
+pub struct AskedSuspect {
+    #[prost(message, optional, tag = "1")]
+    pub suspect: ::core::option::Option<Suspect>,
     /// Age of the first of its last ends, ms.
     #[prost(uint64, tag = "2")]
     pub since_ms: u64,
@@ -1023,13 +1040,13 @@
 pub struct PartAnswer {
     /// In the order of the query.
     #[prost(message, repeated, tag = "1")]
-    pub parts: ::prost::alloc::vec::Vec<SeenPart>,
+    pub suspects: ::prost::alloc::vec::Vec<SeenSuspect>,
 }
-/// What the host has seen of one part.
+/// What the host has seen of one suspect.
 #[derive(serde::Serialize, serde::Deserialize)]
 #[serde(default)]
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
-pub struct SeenPart {
+pub struct SeenSuspect {
     /// Time since the last sound answer with it began, ms; unset if none is remembered.
     #[prost(uint64, optional, tag = "1")]
     pub sound_ms: ::core::option::Option<u64>,
@@ -1098,9 +1115,9 @@
     /// Position of the store up to which it knows the software versions of streams; 0 for none.
     #[prost(uint64, tag = "6")]
     pub builds: u64,
-    /// Position of the store up to which it knows the parts of prompts that end engines; 0 for none.
+    /// Position of the store up to which it knows what ends targets; 0 for none.
     #[prost(uint64, tag = "7")]
-    pub parts: u64,
+    pub suspects: u64,
 }
 /// What a host knows of the platform's store.
 #[derive(serde::Serialize, serde::Deserialize)]
@@ -1139,20 +1156,20 @@
     /// Software versions at which streams may have begun, if the host knows a newer list.
     #[prost(message, optional, tag = "10")]
     pub builds: ::core::option::Option<BuildList>,
-    /// Parts of prompts that end engines, if the host knows a newer list.
+    /// What ends targets, if the host knows a newer list.
     #[prost(message, optional, tag = "11")]
-    pub parts: ::core::option::Option<PartList>,
+    pub suspects: ::core::option::Option<SuspectList>,
 }
-/// Parts of prompts that end engines, as the store lists them.
+/// What ends targets, as the store lists it.
 #[derive(serde::Serialize, serde::Deserialize)]
 #[serde(default)]
-#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
-pub struct PartList {
-    /// Position of the store up to which they are known.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct SuspectList {
+    /// Position of the store up to which it is known.
     #[prost(uint64, tag = "1")]
     pub revision: u64,
-    #[prost(uint64, repeated, tag = "2")]
-    pub parts: ::prost::alloc::vec::Vec<u64>,
+    #[prost(message, repeated, tag = "2")]
+    pub suspects: ::prost::alloc::vec::Vec<Suspect>,
 }
 /// Software versions at which streams may have begun.
 #[derive(serde::Serialize, serde::Deserialize)]
