Streams: comments are no sign of life, and bytes that keep coming no reason to miss the deadline

What callers saw: an engine that sends comment lines without an event or an end kept a resumable stream until its deadline, and no other engine was asked. Cause: any bytes counted as a sign of life. Where bytes are always ready, the timer of the deadline was never looked at. Change: only an event is a sign of life; comments are passed on. The deadline and the end of a silence are looked at before more is read.

--- a/crates/edge/src/events.rs
+++ b/crates/edge/src/events.rs
@@ -99,6 +99,12 @@
     }
 }
 
+/// Whether these blocks are comments only, which hold no event.
+pub fn are_comments(events: &[u8]) -> bool {
+    let is_comment = |line: &[u8]| matches!(line, [] | b"\r" | [b':', ..]);
+    events.split(|b| *b == b'\n').all(is_comment)
+}
+
 /// Length of the first event, including the blank line that ends it.
 fn end_of_event(data: &[u8]) -> Option<usize> {
     let lf = data.windows(2).position(|w| w == b"\n\n").map(|i| i + 2);
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -94,6 +94,8 @@
     /// An attempt at the engine that may go on while `open` or `pending` is silent.
     successor: Option<Attempt>,
     silence: Silence,
+    /// Whether the caller was sent comments last, which are no sign of life.
+    passed_comments: bool,
     /// What kept another engine from going on last.
     obstacle: Option<AttemptFault>,
 }
@@ -137,6 +139,7 @@
             pending: None,
             successor: None,
             silence: Silence::default(),
+            passed_comments: false,
             obstacle: None,
             app,
             core,
--- a/crates/edge/src/relay/forward.rs
+++ b/crates/edge/src/relay/forward.rs
@@ -10,22 +10,31 @@
 use super::silence::Silence;
 use super::{OpenStream, Relay, Step};
 use crate::body::Truncated;
-use crate::events::Parsed;
+use crate::events::{Parsed, are_comments};
 use crate::send::SendFault;
 use crate::{diagnose, origin, subjects};
 
 impl Relay {
     /// The next events; none at the end of the stream.
     pub(crate) async fn next(&mut self) -> Option<Result<Bytes, Truncated>> {
-        self.silence = Silence::begin(&self.core);
+        // Time for which the caller did not read isn't the engine's silence.
+        if !std::mem::take(&mut self.passed_comments) {
+            self.silence = Silence::begin(&self.core);
+        }
         loop {
             let fault = match self.step().await {
                 Step::Frame(Some(Ok(frame))) => {
                     let Ok(data) = frame.into_data() else { continue };
-                    self.record_sign_of_life();
                     match self.events.push(data) {
+                        // Comments, or the beginning of an event, without end would keep the caller
+                        // until its deadline.
                         Parsed::Events(events) if events.is_empty() => continue,
+                        Parsed::Events(events) if are_comments(&events) => {
+                            self.passed_comments = true;
+                            return Some(Ok(events));
+                        }
                         Parsed::Events(events) => {
+                            self.record_sign_of_life();
                             self.record_first_event();
                             self.record_progress();
                             return Some(Ok(events));
--- a/crates/edge/src/relay/wait.rs
+++ b/crates/edge/src/relay/wait.rs
@@ -43,6 +43,10 @@
     /// Waits for the next event, for the deadline at most.
     pub(super) async fn event(&mut self, now: Ms) -> Event {
         let next = self.silence_end().unwrap_or(Ms::MAX).min(self.call.deadline);
+        // Where bytes keep coming, what is ready is always taken before a timer.
+        if next <= self.core.clock.now() {
+            return Event::Timer;
+        }
         let writes = self.pending.is_some() || self.successor.is_some();
         let progress = self.successor.as_ref().map(Attempt::watch);
         let (open, pending, successor) = (&mut self.open, &mut self.pending, &mut self.successor);
