A refused connection is no connection, for callers that don't tell them apart

Cause: LinkError::Refused is new; crates entry and store did not know it, so the workspace did not build, and a refused write to the store would have counted as one of unknown outcome. Change: both treat it like Connect; one match in edge::send.

--- a/crates/edge/src/send.rs
+++ b/crates/edge/src/send.rs
@@ -244,23 +244,18 @@
     if let Some(permit) = &mut permit {
         permit.record(result.as_ref().map(drop));
     }
-    match &result {
-        Err(LinkError::Broken { .. } | LinkError::TooLarge { .. } | LinkError::Malformed(_)) => {
-            trace.broken();
-        }
+    let response = match result {
+        Ok(response) => response,
         Err(LinkError::Connect | LinkError::Refused | LinkError::Unsent) => {
             trace.close();
             return Err(SendFault::NoConnection);
         }
-        Ok(_) | Err(LinkError::Silent) => {}
-    }
-    let response = result.map_err(|err| match err {
-        LinkError::Connect | LinkError::Refused | LinkError::Unsent => SendFault::NoConnection,
-        LinkError::Silent => SendFault::Silent,
-        LinkError::Broken { .. } | LinkError::TooLarge { .. } | LinkError::Malformed(_) => {
-            SendFault::Broken
+        Err(LinkError::Silent) => return Err(SendFault::Silent),
+        Err(LinkError::Broken { .. } | LinkError::TooLarge { .. } | LinkError::Malformed(_)) => {
+            trace.broken();
+            return Err(SendFault::Broken);
         }
-    })?;
+    };
     let (parts, body) = response.into_parts();
     let head = core.dialect.parse_response(&parts, request.id);
     if !head.same_request {
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -82,7 +82,7 @@
 
 fn fault_of(err: &LinkError) -> Fault {
     match err {
-        LinkError::Connect | LinkError::Unsent => Fault::Connect,
+        LinkError::Connect | LinkError::Refused | LinkError::Unsent => Fault::Connect,
         // The target may have closed an idle pooled connection at the moment of sending, so a break
         // of a reused connection is no sign of a crash.
         LinkError::Broken { reused: true } | LinkError::Silent => Fault::Silent,
--- a/crates/store/src/http.rs
+++ b/crates/store/src/http.rs
@@ -54,7 +54,7 @@
             // The cause may have broken the other pooled connections as well.
             self.pool.clear();
             match err {
-                LinkError::Connect | LinkError::Unsent => StoreError::Down,
+                LinkError::Connect | LinkError::Refused | LinkError::Unsent => StoreError::Down,
                 _ if write => StoreError::OutcomeUnknown,
                 _ => StoreError::Down,
             }
