One end of a target is counted once, and a bad request's parts are not refused for it

Cause: an end that was proved by a report was counted again when the new start was registered, with requests that were already at the new process; requests that were dropped before an end counted at the time of their drop. And a first part that the bad request shares with sound ones was counted for ends that the bad request explains. Change: only requests whose connections have ended are reported; all of one proof have one time; a start that a report has told is no other end when it is registered. A part is not found while one request explains its ends as well, nor by the ends of the one refused request that has it.

--- a/crates/edge/src/core/known.rs
+++ b/crates/edge/src/core/known.rs
@@ -276,9 +276,8 @@
         let evacuated = self.gate.evacuations().domains().clone();
         let rejoin_time = self.rejoin_time();
         let works = |entry: &Entry| view.registry.takes_work(entry);
-        let before = self.links.load();
-        let next = before.renew(self.clock.now(), targets, works, evacuated, rejoin_time);
-        before.lost(&next).for_each(|link| self.suspicions.add(link));
+        let next =
+            self.links.load().renew(self.clock.now(), targets, works, evacuated, rejoin_time);
         self.links.store(Arc::new(next));
         self.changed.send_replace(());
     }
--- a/crates/edge/src/diagnose.rs
+++ b/crates/edge/src/diagnose.rs
@@ -40,12 +40,12 @@
     at: Ms,
 }
 
-/// Reports a request that was at a target which is proved to have ended.
-pub(crate) fn report(core: &Core, target: &TargetId, exposure: Exposure, now: Ms) {
+/// Reports a request that was at a target which is proved to have ended, at `at`.
+pub(crate) fn report(core: &Core, target: &TargetId, exposure: Exposure, at: Ms) {
     let Exposure { exposed, sent, begun, left, .. } = exposure;
-    let at = left.map_or(now, |(at, _)| at);
+    let gone = left.map_or(at, |(gone, _)| gone);
     // An engine that a part ends is gone soon after it has begun to answer.
-    let suspected = begun.is_some_and(|begun| at - begun < PROBATION);
+    let suspected = begun.is_some_and(|begun| gone - begun < PROBATION);
     let parts = if suspected { exposed.parts } else { Arc::default() };
     let ended = Ended { target: target.clone(), request: exposed.request, parts, sent, at };
     core.members.queue_end(ended);
--- a/crates/edge/src/ended.rs
+++ b/crates/edge/src/ended.rs
@@ -118,8 +118,8 @@
     let known = core.links();
     for link in &links {
         link.exposures().expire(now);
-        if known.is_superseded(&link.entry) {
-            end(core, link, Proof::Registered, now);
+        if known.supersedes(link) {
+            end(core, link, Proof::Registered);
         }
     }
     core.suspicions.links().retain(|link| link.exposures().left().next().is_some());
@@ -161,10 +161,10 @@
     match ask(&core, &link).await {
         Answer::Refused => {
             link.set_started(None);
-            end(&core, &link, Proof::Refused, first);
+            end(&core, &link, Proof::Refused);
         }
         Answer::Started(at) => match link.set_started(Some(at)) {
-            Some(before) if before != at => end(&core, &link, Proof::Report, first),
+            Some(before) if before != at => end(&core, &link, Proof::Report),
             Some(_) => link.exposures().refute(begun),
             None => {}
         },
@@ -191,13 +191,15 @@
     }
 }
 
-/// Reports that a target has ended under the requests that it had: those whose connections have ended,
-/// and those sent up to `until`.
-fn end(core: &Core, link: &Link, proof: Proof, until: Ms) {
-    let taken = link.exposures().take(until);
+/// Reports that a target has ended under the requests that it had. They were all at one end, the time
+/// of which is that of the first break; without a break it is not known better than by the proof.
+fn end(core: &Core, link: &Link, proof: Proof) {
+    let taken = link.exposures().take();
     if taken.is_empty() {
         return;
     }
+    let broken = taken.iter().filter_map(|e| e.left.filter(|(_, how)| *how == Left::Broken));
+    let at = broken.map(|(at, _)| at).min().unwrap_or_else(|| core.clock.now());
     let keys = taken.iter().filter_map(|e| e.exposed.request).take(MAX_LOGGED);
     let target: TargetId = link.incarnation();
     note!(
@@ -208,6 +210,5 @@
         keys = keys.map(|key| format!("{key:x}")).collect::<Vec<_>>().join(",")
     );
     core.metrics.target_ended(proof.name());
-    let now = core.clock.now();
-    taken.into_iter().for_each(|exposure| diagnose::report(core, &target, exposure, now));
+    taken.into_iter().for_each(|exposure| diagnose::report(core, &target, exposure, at));
 }
--- a/crates/edge/src/exposures.rs
+++ b/crates/edge/src/exposures.rs
@@ -98,11 +98,6 @@
         self.list.iter_mut().filter(|e| e.is_refuted(now)).for_each(|e| e.asked = true);
     }
 
-    /// Whether there are none.
-    pub(crate) fn is_empty(&self) -> bool {
-        self.list.is_empty()
-    }
-
     /// Drops those that were left too long ago.
     pub(crate) fn expire(&mut self, now: Ms) {
         self.list.retain(|e| e.left.is_none_or(|(at, _)| now - at < KEEP_TIME));
@@ -119,11 +114,10 @@
             .retain(|e| !matches!(e.left, Some((at, Left::Unframed)) if now - at >= OVERTAKE_TIME));
     }
 
-    /// Takes those that were at the target when it ended: all whose connections have ended, and those
-    /// sent up to `until`.
-    pub(crate) fn take(&mut self, until: Ms) -> Vec<Exposure> {
-        let taken = |e: &mut Exposure| e.left.is_some() || e.sent <= until;
-        self.list.extract_if(.., taken).collect()
+    /// Takes those that may have been at the target when it ended: all whose connections have ended. One
+    /// that is still open may be at the process that runs now; if it is not, it will be left too.
+    pub(crate) fn take(&mut self) -> Vec<Exposure> {
+        self.list.extract_if(.., |e| e.left.is_some()).collect()
     }
 
     fn leave(&mut self, ids: &[u64], now: Ms, how: Left) -> bool {
--- a/crates/edge/src/links.rs
+++ b/crates/edge/src/links.rs
@@ -306,17 +306,17 @@
         self.by_name.values()
     }
 
-    /// Whether another process is known to run in the place of a registered target.
-    pub(crate) fn is_superseded(&self, entry: &Entry) -> bool {
-        let renamed = |l: &Arc<Link>| l.entry.addr == entry.addr && l.entry.born > entry.born;
-        let same_name = self.by_name.get(&entry.id);
-        same_name.is_some_and(|l| l.entry.born != entry.born) || self.all().any(renamed)
-    }
-
-    /// Targets that the next links no longer have, with requests that they have not answered.
-    pub(crate) fn lost<'a>(&'a self, next: &'a Self) -> impl Iterator<Item = &'a Arc<Link>> {
-        let kept = |l: &Arc<Link>| next.by_name.get(&l.entry.id).is_some_and(|n| Arc::ptr_eq(n, l));
-        self.all().filter(move |l| !kept(l) && !l.exposures().is_empty())
+    /// Whether the registrations name another process in the place of a target than the one that is
+    /// known to have run there last.
+    pub(crate) fn supersedes(&self, link: &Link) -> bool {
+        let same_name =
+            self.by_name.get(&link.entry.id).filter(|l| l.entry.born != link.entry.born);
+        let renamed =
+            |l: &&Arc<Link>| l.entry.addr == link.entry.addr && l.entry.born > link.entry.born;
+        let Some(next) = same_name.or_else(|| self.all().find(renamed)) else { return false };
+        // Its end may have been counted when it was found out.
+        let before = link.set_started(Some(next.entry.born));
+        before.is_some_and(|before| before != next.entry.born)
     }
 
     /// Number of targets that take work.
--- a/crates/logs/src/event.rs
+++ b/crates/logs/src/event.rs
@@ -102,10 +102,10 @@
     BuildListed = 324, Info, "A software version is listed in the platform's store; streams may begin at its targets.";
     TargetUnproved = 325, Info, "Connections to a target have ended, and it could not be shown to be the registered incarnation; a stream was not sent to it.";
     BuildUnlisted = 326, Info, "A software version is no longer listed in the platform's store: it had no target for long, or the store came back from an older copy.";
-    PartFound = 327, Error, "A part of prompts ends engines, and requests with it are refused: the engines, at how many moments they ended, whether the part had sound answers before, and how many sound answers others had meanwhile.";
-    PartRefused = 328, Warn, "This host refuses requests with a part of prompts from now on.";
-    PartLifted = 329, Info, "An operator has removed a part of prompts from the list in the store; requests with it are served again.";
-    PartsFull = 330, Error, "A part of prompts ends engines, but so many others are refused that it isn't.";
+    PartFound = 327, Error, "A part of prompts, or a request, ends targets, and such requests are refused: the targets, at how many moments they ended, whether it had sound answers before, and how many sound answers others had meanwhile.";
+    PartRefused = 328, Warn, "This host refuses requests with a part of prompts, or a request, from now on.";
+    PartLifted = 329, Info, "An operator has removed a part of prompts, or a request, from the list in the store; it is served again.";
+    PartsFull = 330, Error, "A part of prompts, or a request, ends targets, but so many others are refused that it isn't.";
     RequestOverloaded = 331, Info, "A request was refused because the work ahead of it at its stages would make it late: the service with the longest wait, the pieces ahead there, and those of its own workspace and rank.";
     RestGivenUp = 332, Info, "A request was given up before a later stage: because of the work queued ahead, the rest of its stages can't end before its deadline.";
     LoadImplausible = 333, Warn, "Another host sent a load of a service with impossible figures; it was dropped. Logged once.";
@@ -122,7 +122,7 @@
     StagesCut = 344, Warn, "The grace period of a stopping host ended while it composed stages of other hosts, which have them run again.";
     SecondAttempt = 345, Info, "A target has not answered a request that may be repeated; it is also sent to another one, and the first attempt stays open.";
     AttemptDropped = 346, Info, "An attempt without an answer was dropped because another target has answered the request, or goes on with it.";
-    EndCounted = 347, Warn, "A target is taken to have ended: the evidence, and the keys of the requests that may be the cause.";
+    EndCounted = 347, Warn, "It is proved that a target has ended: by what, and the keys of the requests that may be the cause.";
     JournalUnavailable = 400, Warn, "A key could not be recorded; its request was refused.";
     FinishRetried = 401, Warn, "The outcome of a keyed request could not be recorded yet; the write is retried.";
     FinishLost = 402, Error, "The outcome of a keyed request could not be recorded; re-sends are answered as unknown.";
--- a/crates/sched/src/suspects.rs
+++ b/crates/sched/src/suspects.rs
@@ -24,7 +24,7 @@
 pub mod request;
 
 use base::{Ms, Suspect, TargetId, hash_parts};
-use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 
 /// Time after the beginning of an answer within which its request may have ended the engine. An
 /// engine that a part ends is gone within a tenth of a second; most sound streams last longer than
@@ -173,7 +173,7 @@
     place: usize,
     /// When the last of these requests was sent.
     sent: Ms,
-    /// Their keys, two at most.
+    /// Their keys, [`MAX_PROMPTS`] at most.
     requests: Vec<u64>,
 }
 
@@ -182,7 +182,7 @@
         self.place = place.max(self.place);
         self.sent = broken.sent.max(self.sent);
         match broken.request {
-            Some(key) if self.requests.len() < 2 && !self.requests.contains(&key) => {
+            Some(key) if self.requests.len() < MAX_PROMPTS && !self.requests.contains(&key) => {
                 self.requests.push(key);
             }
             _ => {}
@@ -302,8 +302,20 @@
         self.ends.iter().filter(|end| end.carried.contains_key(&suspect)).filter(after).collect()
     }
 
+    /// The quarantined requests that had a part at these ends.
+    fn causes(&self, ends: &[&End], part: u64) -> Vec<u64> {
+        let keys = carried(ends, part).flat_map(|(_, c)| &c.requests).copied();
+        let known = keys.filter(|key| self.quarantined.contains(&Suspect::Request(*key)));
+        known.collect::<BTreeSet<u64>>().into_iter().collect()
+    }
+
     fn case(&self, part: u64, told: Observed) -> Case<'_> {
-        let ends = self.counted(Suspect::Part(part), told);
+        let mut ends = self.counted(Suspect::Part(part), told);
+        // A request that is known to end targets explains its ends. Two with the part are another
+        // matter: it may be what they have in common.
+        if let [cause] = self.causes(&ends, part)[..] {
+            ends.retain(|end| !end.carried.contains_key(&Suspect::Request(cause)));
+        }
         let span = ends.first().zip(ends.last()).map(|(first, last)| (first.at, last.at));
         let within = |at: Ms| span.is_some_and(|(first, last)| (first..=last).contains(&at));
         Case {
@@ -352,11 +364,14 @@
         enough && open > 0 && explains && engines_work && several
     }
 
-    /// Whether more than one request had the part. Otherwise it is the request that ends engines.
+    /// Whether no request explains the ends as well. Otherwise it is the request that ends engines.
     fn is_in_several_requests(&self) -> bool {
-        let mut keys = carried(&self.ends, self.part).flat_map(|(_, c)| &c.requests);
-        let first = keys.next();
-        first.is_none() || keys.any(|key| Some(key) != first)
+        let mut ends: BTreeMap<u64, usize> = BTreeMap::new();
+        for key in carried(&self.ends, self.part).flat_map(|(_, c)| &c.requests) {
+            *ends.entry(*key).or_default() += 1;
+        }
+        let most = ends.values().max().copied().unwrap_or(0);
+        100 * most < KNOWN_SHARE_PERCENT * self.ends.len()
     }
 
     /// Parts with more ends come first, and of two with the same ends the one that fewer prompts
--- a/crates/sched/tests/requests.rs
+++ b/crates/sched/tests/requests.rs
@@ -141,6 +141,24 @@
     assert_eq!(spell.found(&[]), []);
 }
 
+// Guards against refusing all requests that share a first part with a bad request.
+#[test]
+fn a_part_of_a_request_that_ends_targets_is_not_found() {
+    let mut ends = Ends::default();
+    for n in 0..6 {
+        let target = TargetId::from(format!("{n}@1"));
+        for request in [Some(BAD), Some(100 + n)] {
+            let (sent, at) = (Ms(940 + 1_000 * n), Ms(1_000 + 1_000 * n));
+            ends.record(&BrokenRequest { target: &target, request, parts: &[1], sent, at });
+        }
+    }
+    let told: HashMap<Suspect, Observed> =
+        ends.candidates().iter().map(|c| (c.suspect, Observed::default())).collect();
+    assert_eq!(ends.diagnose(&told), None);
+    ends.quarantined(Suspect::Request(BAD));
+    assert_eq!(ends.diagnose(&told), None);
+}
+
 // Guards against copies of one request that end all targets at one moment and count as an outage.
 #[test]
 fn copies_of_a_request_at_one_moment_are_found() {
