--- a/crates/edge/src/diagnose.rs
+++ b/crates/edge/src/diagnose.rs
@@ -194,8 +194,8 @@
     core.members.notify_all(HostNews { found, ..HostNews::default() }).await;
 }
 
-/// Applies what another host has found. A host whose turn it may be passes it on: it may reach hosts that the other one
-/// does not.
+/// Applies what another host has found. A host whose turn it may be passes it on: it may reach hosts
+/// that the other one does not.
 pub(crate) fn receive_found(core: &Arc<Core>, found: SuspectFound) {
     let Some(suspect) = found.suspect.as_ref().and_then(from_wire) else { return };
     let is_new = core.put_in_quarantine(suspect);
--- a/crates/edge/src/relay/outcome.rs
+++ b/crates/edge/src/relay/outcome.rs
@@ -220,8 +220,8 @@
         self.runs += written;
     }
 
-    /// Drops the attempts because the request or a part of its prompt ends engines. Returns what the caller gets if
-    /// no engine streams.
+    /// Drops the attempts because the request or a part of its prompt ends engines. Returns what the
+    /// caller gets if no engine streams.
     pub(super) fn poisoned(&mut self, blocked: BlockReason) -> Option<Step> {
         self.withdraw_successor();
         let attempt = self.pending.take()?;
@@ -279,7 +279,8 @@
         }
     }
 
-    /// Logs and counts a failed send, or a stream that failed. `answering` is the time since the engine began to answer; none if it had not.
+    /// Logs and counts a failed send, or a stream that failed. `answering` is the time since the engine
+    /// began to answer; none if it had not.
     fn record_failure(&self, link: &Link, fault: SendFault, answering: Option<Ms>) {
         note!(
             logs::Event::AttemptFailed,
