--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -621,8 +621,16 @@
     record = Record(os.path.join(here, "record.txt"))
     folder = tempfile.mkdtemp(prefix="review-")
     random.seed(int(os.environ.get("SEED", "1")))
+
+    async def play():
+        try:
+            return await asyncio.wait_for(case(record, folder, trouble), 115)
+        finally:
+            for edge in Edges:
+                await edge.kill()
+
     try:
-        broken = asyncio.run(asyncio.wait_for(case(record, folder, trouble), 115))
+        broken = asyncio.run(play())
     except (asyncio.TimeoutError, OSError) as err:
         record("can't run", why=repr(err))
         broken = None
