--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -509,9 +509,10 @@
 class Edge:
     """An edge host as a process, started with the deploy file's command."""
 
-    def __init__(self, folder, name, zone, zones, store, seeds=None, ip="127.0.0.1"):
+    def __init__(self, folder, name, zone, zones, store, seeds=None, ip=None):
         self.folder, self.name, self.zone, self.zones, self.store = folder, name, zone, zones, store
-        self.ip = ip
+        # A loopback address of its own, so that runs side by side don't take each other's ports.
+        ip = self.ip = ip or "127.%d.%d.%d" % tuple(random.SystemRandom().randint(1, 254) for _ in range(3))
         self.front, self.ready_at, self.peer = (f"{ip}:{free_port(ip)}" for _ in range(3))
         self.metrics = free_port(ip)
         self.seeds = seeds if seeds is not None else [self.peer]
