--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -163,6 +163,23 @@
             self.history.append((self.revision, kind, obj, True))
             self.wake()
 
+    def copy(self):
+        """A copy, as a drill keeps one."""
+        return self.revision, json.loads(json.dumps([[*k, o] for k, o in self.objects.items()]))
+
+    async def come_back(self, copy, away_s):
+        """Is away for a moment and comes back from a copy: what was written since is gone, and revisions
+        are given out again. What the operator and the servers wrote is for them to write again."""
+        ip, port = self.addr.split(":")
+        await self.close()
+        await asyncio.sleep(away_s)
+        self.revision, objects = copy
+        self.objects = {(kind, name): obj for kind, name, obj in objects}
+        self.history = [h for h in self.history if h[0] <= self.revision]
+        self.era += 1
+        self.wake()
+        await self.listen(ip, int(port))
+
     def encode(self, obj):
         """An object as bytes; its spec may be given as bytes."""
         if isinstance(obj["spec"], bytes):
@@ -207,6 +224,8 @@
             obj = self.objects.get((kind, name))
             return answer(200, era, self.encode(obj)) if obj else answer(404, era)
         if "watch" in query:
+            if int(query["watch"]) > self.revision:
+                return answer(410, era)
             since, end = int(query["watch"]), now() + int(query.get("waitMs", 0)) / 1000
             while True:
                 events = [(o, gone) for at, k, o, gone in self.history if at > since and k == kind]
