--- a/crates/edge/src/composer/call.rs
+++ b/crates/edge/src/composer/call.rs
@@ -59,6 +59,13 @@
         self.feed(service, Event::Ended(call, end));
     }
 
+    /// Counts the pieces of a call that its target has rejected: they are sent again.
+    pub(super) fn count_rejected(&self, service: &Service, end: &CallEnd, pieces: usize) {
+        if lack(end).is_some() {
+            self.core.metrics.pieces_resent(service.name.as_str(), "rejected", pieces);
+        }
+    }
+
     pub(super) async fn call(&self, target: &TargetId, pieces: &[Piece], timeout: Ms) -> CallEnd {
         let Some(link) = self.core.links().named(target).cloned() else {
             return CallEnd::NoConnection;
--- a/crates/edge/src/composer/mod.rs
+++ b/crates/edge/src/composer/mod.rs
@@ -280,6 +280,7 @@
                     let (composer, service) = (self.clone(), service.clone());
                     tokio::spawn(async move {
                         let end = composer.call(&target, &pieces, timeout).await;
+                        composer.count_rejected(&service, &end, pieces.len());
                         composer.call_ended(&service, call, &target, end);
                     });
                 }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -65,6 +65,7 @@
 mod subjects;
 mod submit;
 mod suspects;
+mod unread;
 
 pub use dialect::{
     Dialect, ForwardFields, Load, Notice, PromptPart, RequestHead, RequestHeadError, ResponseHead,
--- a/crates/edge/src/links.rs
+++ b/crates/edge/src/links.rs
@@ -15,6 +15,7 @@
 use crate::connections::Connections;
 use crate::exposures::Exposures;
 use crate::reports::Reports;
+use crate::unread::Unread;
 
 /// Time-out for opening a connection. Round trips take up to about 40 ms; a target that does not
 /// accept a connection in this time is down or full, and another is tried, since nothing was sent.
@@ -44,6 +45,7 @@
     subjects: Mutex<CachedSubjects>,
     warmup: Mutex<WarmupState>,
     exposures: Mutex<Exposures>,
+    unread: Mutex<Unread>,
     /// When its process started, as last reported; none while nothing is known of the one that runs.
     started: Mutex<Option<u64>>,
     /// When it was last checked whether it still runs, ms.
@@ -85,6 +87,7 @@
             subjects: Mutex::default(),
             warmup: Mutex::new(warmup),
             exposures: Mutex::default(),
+            unread: Mutex::default(),
             started: Mutex::new(Some(entry.born)),
             entry,
             checked: AtomicU64::new(0),
@@ -179,6 +182,11 @@
         self.exposures.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Sends that it is not known to have read.
+    pub(crate) fn unread(&self) -> MutexGuard<'_, Unread> {
+        self.unread.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Sets when its process started, as it reports; none if none runs. Returns what was known before.
     pub(crate) fn set_started(&self, started: Option<u64>) -> Option<u64> {
         let mut known = self.started.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -21,6 +21,8 @@
     sends: Counter<u64>,
     retries: Counter<u64>,
     retry_hosts: Gauge<u64>,
+    read_times: Histogram<u64>,
+    resent_pieces: Counter<u64>,
     streams: Counter<u64>,
     known_streams: Gauge<u64>,
     poison_parts: Gauge<u64>,
@@ -68,6 +70,8 @@
             sends: meter.u64_counter("edge_sends").build(),
             retries: meter.u64_counter("edge_retries").build(),
             retry_hosts: meter.u64_gauge("edge_retry_hosts").build(),
+            read_times: meter.u64_histogram("edge_send_read_ms").build(),
+            resent_pieces: meter.u64_counter("edge_pieces_resent").build(),
             streams: meter.u64_counter("edge_streams_went_on").build(),
             known_streams: meter.u64_gauge("edge_known_streams").build(),
             poison_parts: meter.u64_gauge("edge_poison_parts").build(),
@@ -131,6 +135,17 @@
         self.retry_hosts.record(hosts as u64, &[]);
     }
 
+    /// Records the time from a send until its target was shown to have read it.
+    pub(crate) fn send_read(&self, service: &str, took: Ms) {
+        self.read_times.record(took.0, &[KeyValue::new("service", service.to_owned())]);
+    }
+
+    /// Counts pieces that are sent to targets once more, by the `cause`.
+    pub(crate) fn pieces_resent(&self, service: &str, cause: &'static str, pieces: usize) {
+        let service = KeyValue::new("service", service.to_owned());
+        self.resent_pieces.add(pieces as u64, &[service, KeyValue::new("cause", cause)]);
+    }
+
     /// Counts a stream that goes on at another run: resumed by this `host` within its answer, or
     /// taken up by its `caller`.
     pub(crate) fn stream_went_on(&self, by: &'static str) {
--- a/crates/edge/src/origin.rs
+++ b/crates/edge/src/origin.rs
@@ -26,17 +26,46 @@
     if !call.head.takes_up() {
         return Ok(None);
     }
-    let build = begun_at(core, call).await.ok_or(Reason::UnknownOrigin)?;
+    let found = begun_at(core, call).await;
+    note!(
+        logs::Event::OriginFound,
+        request = %call.head.id,
+        resumes = call.head.resumes.as_deref(),
+        build = found.as_ref().map(|(build, _)| build.as_str()),
+        proof = found.as_ref().map_or("none", |(_, proof)| proof.name())
+    );
+    let (build, _) = found.ok_or(Reason::UnknownOrigin)?;
     match core.has_build(&call.service, &build) {
         true => Ok(Some(build)),
         false => Err(Reason::OtherBuild),
     }
 }
 
-async fn begun_at(core: &Arc<Core>, call: &Call) -> Option<BuildId> {
+/// What proves at which version a stream began.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Proof {
+    /// This host has a record.
+    Known,
+    /// The store lists one version only.
+    Only,
+    /// Another host has a record, or the store's list.
+    Told,
+}
+
+impl Proof {
+    const fn name(self) -> &'static str {
+        match self {
+            Self::Known => "known",
+            Self::Only => "only",
+            Self::Told => "told",
+        }
+    }
+}
+
+async fn begun_at(core: &Arc<Core>, call: &Call) -> Option<(BuildId, Proof)> {
     let stream = stream(call);
     if let Some(build) = core.origins().get(core.clock.now(), stream) {
-        return Some(build.clone());
+        return Some((build.clone(), Proof::Known));
     }
     // That this host knows of one version proves nothing: it may be cut off, and the stream may have
     // begun at a version listed since. A list read after the caller came has all that matter.
@@ -44,8 +73,8 @@
     let read = mixed || builds::read_since(core, call.arrived).await;
     let only = core.builds().only(&call.service).filter(|_| read).cloned();
     match only {
-        Some(build) => Some(build),
-        None => ask(core, call, stream, !read).await,
+        Some(build) => Some((build, Proof::Only)),
+        None => Some((ask(core, call, stream, !read).await?, Proof::Told)),
     }
 }
 
--- a/crates/edge/src/send.rs
+++ b/crates/edge/src/send.rs
@@ -19,6 +19,7 @@
 use crate::gate::{self, BlockReason};
 use crate::links::{Link, OpenRequest};
 use crate::notices;
+use crate::unread::Written;
 
 /// How a send failed, by whether the target may have run the request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
@@ -220,9 +221,11 @@
     };
     gate::admit(core, link).map_err(SendFault::Blocked)?;
     let mut trace = Trace::begin(core, link, request.exposed);
+    let mut written = Written::begin(core, link);
     let mut result = dialed.conn.send(build().map(full), end - core.clock.now()).await;
     if matches!(result, Err(LinkError::Unsent)) && if_closed == IfClosed::Reopen {
         trace.close();
+        written.close();
         dialed = match &mut permit {
             Some(permit) => {
                 permit.record(result.as_ref().map(drop));
@@ -232,6 +235,7 @@
         };
         gate::admit(core, link).map_err(SendFault::Blocked)?;
         trace = Trace::begin(core, link, request.exposed);
+        written = Written::begin(core, link);
         result = dialed.conn.send(build().map(full), end - core.clock.now()).await;
     }
     if let (Err(LinkError::Silent), Wait::Running { most, .. }) = (&result, wait) {
@@ -248,11 +252,13 @@
         Ok(response) => response,
         Err(LinkError::Connect | LinkError::Refused | LinkError::Unsent) => {
             trace.close();
+            written.close();
             return Err(SendFault::NoConnection);
         }
         Err(LinkError::Silent) => return Err(SendFault::Silent),
         Err(LinkError::Broken { .. } | LinkError::TooLarge { .. } | LinkError::Malformed(_)) => {
             trace.broken();
+            written.close();
             return Err(SendFault::Broken);
         }
     };
@@ -262,6 +268,7 @@
         return Err(SendFault::Mismatch);
     }
     link.exposures().answered(core.clock.now());
+    written.answered();
     notices::apply(core, link, &parts, &head);
     let lease =
         Lease { link: link.clone(), dialed, keep: head.keep_alive, permit, trace, _open: open };
--- a/crates/edge/src/stages.rs
+++ b/crates/edge/src/stages.rs
@@ -31,13 +31,15 @@
 pub(crate) enum Turn {
     /// For the first time: the request may still be refused because of the work ahead.
     First,
-    /// Again, or for a caller that has a part of the answer: the request is not refused.
+    /// For the first time, for a caller that has a part of the answer: the request is not refused.
+    TakenUp,
+    /// Again: the request is not refused, and its stage targets have had its pieces.
     Again,
 }
 
 /// Runs all stages and returns their results. The request itself is not run here.
 pub(crate) async fn run(app: &Arc<App>, call: &Call, turn: Turn) -> Result<Results, Reason> {
-    let mut run = Run::new(app, call);
+    let mut run = Run::new(app, call, turn);
     if turn == Turn::First
         && let Err(reason) = run.admit()
     {
@@ -78,6 +80,8 @@
     done: Vec<Option<Arc<[String]>>>,
     /// Results of each stage that are still to be released.
     held: Vec<Option<StageOutput>>,
+    /// Whether each stage has been submitted before, so that its targets may have had its pieces.
+    submitted: Vec<bool>,
     /// When each stage was submitted.
     started: Vec<Option<Ms>>,
     /// When the targets drop each stage's results.
@@ -89,7 +93,7 @@
 }
 
 impl<'a> Run<'a> {
-    fn new(app: &'a Arc<App>, call: &'a Call) -> Self {
+    fn new(app: &'a Arc<App>, call: &'a Call, turn: Turn) -> Self {
         let count = call.route.stages.len();
         let time = |service: &PoolId| match batch(call, service) {
             Some(batch) => app.core.estimate().stage(service, batch),
@@ -111,6 +115,7 @@
             remaining,
             done: vec![None; count],
             held: vec![None; count],
+            submitted: vec![turn == Turn::Again; count],
             started: vec![None; count],
             results_expire: vec![Ms::MAX; count],
             running: FuturesUnordered::new(),
@@ -243,6 +248,13 @@
                 self.running.push(Box::pin(async move { (i, Err(StageFault::Outside)) }));
                 continue;
             };
+            if std::mem::replace(&mut self.submitted[i], true) {
+                self.app.core.metrics.pieces_resent(
+                    stage.service.as_str(),
+                    "rerun",
+                    pieces as usize,
+                );
+            }
             let mut work = self.work(i, pieces);
             // The preferred domain is dropped if the request may not be in that domain's region.
             if self.app.core.settings().region_of(&domain) == Some(&region) {
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -23,7 +23,7 @@
         Err(reason) => return give_up(&core, &call, reason, 0, 0),
     };
     let readers = subjects::find_readers(&core, &call);
-    let turn = if call.head.takes_up() { Turn::Again } else { Turn::First };
+    let turn = if call.head.takes_up() { Turn::TakenUp } else { Turn::First };
     let done = tokio::select! {
         done = stages::run(&app, &call, turn) => done,
         // A stream that began now would be truncated at the end of the host's grace period.
--- a/crates/edge/src/submit.rs
+++ b/crates/edge/src/submit.rs
@@ -87,6 +87,8 @@
     work: StageWork,
     begun: Ms,
     open: FuturesUnordered<BoxFuture<'static, (Owner, Result<StageResults, RemoteFault>)>>,
+    /// Whether a composer has been asked.
+    asked: bool,
     /// Whether a composer's configuration doesn't declare the service.
     undeclared: bool,
     /// A failure that one of them has returned.
@@ -102,6 +104,7 @@
             work,
             begun,
             open: FuturesUnordered::new(),
+            asked: false,
             undeclared: false,
             failed: None,
         }
@@ -113,6 +116,7 @@
         let settings = core.settings().clone();
         for _ in 0..MAX_COMPOSERS {
             let owner = core.members.owner(&settings, self.service, region)?;
+            self.count_resent();
             let Owner::Peer { host, addr } = owner.clone() else { return None };
             let (from, work) = (core.clone(), self.remaining());
             let (name, peer) = (host.clone(), owner.clone());
@@ -132,8 +136,17 @@
         None
     }
 
+    /// Counts the pieces if another composer has been asked, which may have sent them.
+    fn count_resent(&mut self) {
+        if std::mem::replace(&mut self.asked, true) && !self.undeclared {
+            let pieces = self.work.pieces as usize;
+            self.app.core.metrics.pieces_resent(self.service.as_str(), "composer", pieces);
+        }
+    }
+
     /// Composes the stage here.
     async fn own(&mut self, declared: Option<&Batch>) -> Ended {
+        self.count_resent();
         let (composer, work) = (self.app.composer.clone(), self.remaining());
         let declared = declared.cloned();
         let own = async move { (Owner::Me, Ok(composer.submit(work, declared.as_ref()).await)) };
--- a/crates/logs/src/event.rs
+++ b/crates/logs/src/event.rs
@@ -75,6 +75,7 @@
     RequestPanicked = 215, Error, "The handling of a request panicked; its caller got a failure.";
     EngineSilent = 216, Info, "An engine has sent nothing of a stream for long; another one is asked to go on, and it is kept until that one has begun.";
     EngineResponds = 217, Info, "An engine that was silent goes on with its stream.";
+    OriginFound = 218, Info, "A caller takes up a stream: the software version that began it, and what proves that.";
     AnswerMismatch = 300, Warn, "An answer belonged to another request, stage or attempt and was dropped with its connection.";
     ConnectionSilent = 301, Warn, "A connection to a target stopped responding while the target answers on a new one.";
     TargetDead = 302, Warn, "A target does not respond on new connections either.";
@@ -123,6 +124,7 @@
     SecondAttempt = 345, Info, "A target has not answered a request that may be repeated; it is also sent to another one, and the first attempt stays open.";
     AttemptDropped = 346, Info, "An attempt without an answer was dropped because another target has answered the request, or goes on with it.";
     EndCounted = 347, Warn, "It is proved that a target has ended: by what, and the keys of the requests that may be the cause.";
+    SendReadLate = 348, Info, "A target was shown to have read a request only long after it was sent: a later request was answered.";
     JournalUnavailable = 400, Warn, "A key could not be recorded; its request was refused.";
     FinishRetried = 401, Warn, "The outcome of a keyed request could not be recorded yet; the write is retried.";
     FinishLost = 402, Error, "The outcome of a keyed request could not be recorded; re-sends are answered as unknown.";
