BUDGET: a retry counts until its request's sends have been read

Callers' targets that had been stopped for a second or two got more retries in ten seconds than the fleet may send.

Cause: a retry was taken when it was sent and free again a window after that, while targets count when they read it. A stopped target reads late what was sent early, also from connections that the host has closed, and the retries that were free again by then came on top. The first send of a request may be the later arrival as well.

--- a/crates/edge/src/composer/call.rs
+++ b/crates/edge/src/composer/call.rs
@@ -80,7 +80,7 @@
         let residency = residency.fold(anywhere, |all, piece| all.intersect(piece));
         let keys: Vec<Option<u64>> = pieces.iter().map(|p| p.key).collect();
         let exposed = exposed(&keys);
-        let request = Sending { id: NO_REQUEST_ID, exposed: &exposed };
+        let request = Sending { id: NO_REQUEST_ID, exposed: &exposed, retries: None };
         let begun = self.core.clock.now();
         let sent =
             send(&self.core, &link, &residency, request, wait, Via::Pool(IfClosed::Reopen), build)
--- a/crates/edge/src/composer/release.rs
+++ b/crates/edge/src/composer/release.rs
@@ -86,7 +86,7 @@
                 &self.core,
                 &link,
                 &Residency::Anywhere,
-                Sending { id: NO_REQUEST_ID, exposed: &[] },
+                Sending { id: NO_REQUEST_ID, exposed: &[], retries: None },
                 wait,
                 Via::Pool(IfClosed::Reopen),
                 build,
--- a/crates/edge/src/composer/report.rs
+++ b/crates/edge/src/composer/report.rs
@@ -34,7 +34,7 @@
             &self.core,
             &link,
             &anywhere,
-            Sending { id: NO_REQUEST_ID, exposed: &[] },
+            Sending { id: NO_REQUEST_ID, exposed: &[], retries: None },
             wait,
             Via::Pool(IfClosed::Reopen),
             build,
--- a/crates/edge/src/core.rs
+++ b/crates/edge/src/core.rs
@@ -11,7 +11,7 @@
 use base::{Clock, Ms, PauseMeter, PoolId};
 use catalog::{Builds, Catalog, Limits, Quarantine, Residency};
 use logs::note;
-use sched::budget::{Allowance, Past, RetryBudget};
+use sched::budget::{Allowance, Past, RetryBudget, Spender};
 use sched::detour::Detours;
 use sched::directory::Directory as SubjectDirectory;
 use sched::estimate::Estimate;
@@ -69,6 +69,8 @@
     links: ArcSwap<Links>,
     store: Mutex<StoreView>,
     budget: Mutex<RetryBudget>,
+    /// The budget of stages that this host hands to a composer again.
+    stage_budget: Mutex<RetryBudget>,
     quarantine: Mutex<Quarantine>,
     sound_parts: Mutex<SoundParts>,
     sound_requests: Mutex<SoundParts>,
@@ -149,6 +151,11 @@
             loads: Loads::default(),
             changed: watch::Sender::new(()),
             budget: Mutex::new(RetryBudget::new(allowance(&settings), past)),
+            stage_budget: Mutex::new(RetryBudget::of(
+                Spender::Submitters,
+                allowance(&settings),
+                past,
+            )),
             draws: AtomicU64::new(base::hash_parts(&[
                 settings.host.as_str().as_bytes(),
                 &now.0.to_le_bytes(),
@@ -194,7 +201,7 @@
 
     /// Applies changed settings. Addresses that are in use stay as they were at the start.
     pub(crate) fn set_settings(&self, settings: Settings) {
-        self.budget().set_allowance(allowance(&settings));
+        self.budgets().for_each(|mut b| b.set_allowance(allowance(&settings)));
         self.settings.store(Arc::new(settings));
     }
 
@@ -215,15 +222,18 @@
         self.links.load()
     }
 
-    pub(crate) fn budget(&self) -> MutexGuard<'_, RetryBudget> {
-        lock(&self.budget)
+    /// What this host may send again of the requests of its callers, or of their stages. Composers have
+    /// budgets of their own.
+    pub(crate) fn budget(&self, spender: Spender) -> MutexGuard<'_, RetryBudget> {
+        match spender {
+            Spender::Requests => lock(&self.budget),
+            Spender::Composers | Spender::Submitters => lock(&self.stage_budget),
+        }
     }
 
-    /// Takes a retry from the budget of a service, if there is one left.
-    pub(crate) fn take_retry(&self, service: &PoolId) -> bool {
-        let granted = self.budget().take(self.clock.now(), service);
-        self.metrics.retry(service.as_str(), if granted { "granted" } else { "denied" });
-        granted
+    /// Both of these budgets.
+    pub(crate) fn budgets(&self) -> impl Iterator<Item = MutexGuard<'_, RetryBudget>> {
+        [&self.budget, &self.stage_budget].into_iter().map(lock)
     }
 
     pub(crate) fn estimate(&self) -> MutexGuard<'_, Estimate> {
--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -10,6 +10,7 @@
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use sched::budget::Spender;
 use thiserror::Error;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
@@ -251,8 +252,8 @@
     loop {
         tokio::time::sleep(COUNT_INTERVAL.duration()).await;
         let hosts = core.members.hosts();
-        core.budget().hosts(hosts.len());
-        core.metrics.retry_hosts(core.budget().shares());
+        core.budgets().for_each(|mut b| b.hosts(hosts.len()));
+        core.metrics.retry_hosts(core.budget(Spender::Requests).shares());
         let seen = hosts.iter().map(|h| (&h.host, &h.domain));
         core.gate.roster().see(core.clock.now(), seen);
         connections::settle(&core);
--- a/crates/edge/src/plain.rs
+++ b/crates/edge/src/plain.rs
@@ -13,6 +13,7 @@
 use futures::stream::FuturesUnordered;
 use hyper::{HeaderMap, Response};
 use logs::note;
+use sched::budget::Spender;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -27,6 +28,7 @@
 use crate::refusal::{Reason, give_up};
 use crate::request::Call;
 use crate::send::{IfClosed, Via};
+use crate::unread::Retries;
 
 /// Largest number of targets that are tried for one request, including those that did not run it.
 const MAX_TARGETS: usize = 4;
@@ -60,6 +62,7 @@
     idempotent: bool,
     tried: Vec<Arc<Link>>,
     pending: Vec<Pending>,
+    retries: Arc<Retries>,
     /// Number of sends, those that are pending included.
     sends: u32,
     /// Sends after which a retry was taken from the budget. A pass without a send takes no other one.
@@ -78,6 +81,7 @@
         idempotent: call.route.retry_safety.is_idempotent(),
         tried: Vec::new(),
         pending: Vec::new(),
+        retries: Retries::new(core, &call.service, Spender::Requests),
         sends: 0,
         charged: 0,
         runs: 0,
@@ -161,7 +165,7 @@
         if !self.must_charge() {
             return true;
         }
-        let granted = self.core.take_retry(&self.call.service);
+        let granted = self.retries.take();
         if granted {
             self.charged = self.sends;
         }
@@ -176,8 +180,9 @@
         self.tried.push(link.clone());
         self.pending.push(Pending { link: link.clone(), sent, lost });
         let via = via(permit, new_connection);
+        let retries = self.retries.clone();
         Box::pin(async move {
-            let result = attempt(core, call, &link, sent, via).await;
+            let result = attempt(core, call, &link, sent, via, &retries).await;
             (link, result)
         })
     }
--- a/crates/edge/src/plain/attempt.rs
+++ b/crates/edge/src/plain/attempt.rs
@@ -17,6 +17,7 @@
 use crate::links::Link;
 use crate::request::Call;
 use crate::send::{Answered, Lease, SendFault, Sending, Via, Wait, send};
+use crate::unread::Retries;
 
 /// Largest response in bytes. A response is buffered completely, so that one that ends early is
 /// never passed on in part.
@@ -46,11 +47,12 @@
     link: &Arc<Link>,
     started: Ms,
     via: Via,
+    retries: &Arc<Retries>,
 ) -> Attempt {
     let wait = Wait::Deadline(call.left(started));
     let build = || call.target_request(headers(core, call, link, &[], call.head.last_event, None));
     let exposed = [call.suspects.exposed()];
-    let request = Sending { id: &call.head.id, exposed: &exposed };
+    let request = Sending { id: &call.head.id, exposed: &exposed, retries: Some(retries) };
     let result = send(core, link, &call.residency, request, wait, via, build).await;
     let answered = match result {
         Ok(answered) => answered,
--- a/crates/edge/src/plain/second.rs
+++ b/crates/edge/src/plain/second.rs
@@ -11,6 +11,7 @@
 
 use base::Ms;
 use logs::note;
+use sched::budget::Spender;
 use sched::health::{Outcome, Unanswered};
 use std::future::pending;
 use std::sync::Arc;
@@ -102,7 +103,7 @@
 
 /// Whether a retry is left in the budget.
 pub(super) fn retry_left(core: &Core, call: &Call) -> bool {
-    core.budget().has_left(core.clock.now(), &call.service)
+    core.budget(Spender::Requests).has_left(core.clock.now(), &call.service)
 }
 
 /// Whether the target of an overdue attempt answers nothing.
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -16,6 +16,7 @@
 use hyper::Response;
 use hyper::body::Incoming;
 use logs::note;
+use sched::budget::Spender;
 use std::sync::Arc;
 
 use self::attempt::{Attempt, AttemptFault, MAX_ENGINES};
@@ -31,6 +32,7 @@
 use crate::request::Call;
 use crate::results::Results;
 use crate::send::Lease;
+use crate::unread::Retries;
 
 /// Result of starting a stream.
 pub(crate) enum Started {
@@ -82,6 +84,7 @@
     begun: bool,
     /// Engines that were selected so far.
     tried: Vec<Arc<Link>>,
+    retries: Arc<Retries>,
     /// Number of sends that have ended, whatever their outcome.
     sends: u32,
     /// Number of sends that an engine may have run: those that have ended, and that of `open`.
@@ -132,6 +135,7 @@
             stages_rerun: false,
             inputs_gone: false,
             tried: Vec::new(),
+            retries: Retries::new(&core, &call.service, Spender::Requests),
             sends: 0,
             runs: 0,
             events: EventStream::new(call.head.last_event),
--- a/crates/edge/src/relay/attempt.rs
+++ b/crates/edge/src/relay/attempt.rs
@@ -18,6 +18,7 @@
 use crate::results::Results;
 use crate::send::{Answered, IfClosed, SendFault, Sending, Via, Wait, send};
 use crate::stages::{self, Turn};
+use crate::unread::Retries;
 use sched::placement::engines::Prompt;
 
 /// Most engines that a request is sent to, including those that did not run it.
@@ -78,6 +79,7 @@
     build: Option<BuildId>,
     last_event: Option<u64>,
     tried: Vec<Arc<Link>>,
+    retries: Arc<Retries>,
     /// Whether the request was sent before, so that this is a retry.
     retry: bool,
     /// Whether the stages are run again first.
@@ -110,6 +112,7 @@
             build: relay.build.clone(),
             last_event: relay.events.last(),
             tried: relay.selected(),
+            retries: relay.retries.clone(),
             retry: relay.is_retry(),
             rerun,
             progress,
@@ -176,7 +179,7 @@
         let (readers, build) = (&*self.readers, self.build.as_ref());
         let selection = Selection::Engine { prompt: &prompt, readers, home: &home, build };
         let link = choose(core, &self.call, selection, &self.tried)?;
-        if self.retry && !core.take_retry(&self.call.service) {
+        if self.retry && !self.retries.take() {
             return Err(BlockReason::RetryBudget);
         }
         self.progress.send_modify(|p| p.link = Some(link.clone()));
@@ -205,7 +208,8 @@
         let wait = Wait::Fixed(call.left(core.clock.now()));
         let via = Via::Pool(IfClosed::Fail);
         let exposed = [call.suspects.exposed()];
-        let request = Sending { id: &call.head.id, exposed: &exposed };
+        let request =
+            Sending { id: &call.head.id, exposed: &exposed, retries: Some(&self.retries) };
         send(core, link, &call.residency, request, wait, via, build)
             .await
             .map_err(AttemptFault::Send)
--- a/crates/edge/src/request.rs
+++ b/crates/edge/src/request.rs
@@ -9,6 +9,7 @@
 use hyper::http::request::Parts;
 use hyper::{Request, Response, header};
 use logs::note;
+use sched::budget::Spender;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
@@ -217,7 +218,7 @@
     // A stream that is taken up goes on at the service that began it.
     let draw = hash_parts(&[head.begun_as().as_bytes()]);
     let service = route.backend(draw).ok_or(refused(Reason::NoTarget))?.clone();
-    core.budget().request(arrived, &service);
+    core.budget(Spender::Requests).request(arrived, &service);
     Ok(Call {
         head,
         route,
--- a/crates/edge/src/send.rs
+++ b/crates/edge/src/send.rs
@@ -19,7 +19,7 @@
 use crate::gate::{self, BlockReason};
 use crate::links::{Link, OpenRequest};
 use crate::notices;
-use crate::unread::Written;
+use crate::unread::{Retries, Written};
 
 /// How a send failed, by whether the target may have run the request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
@@ -170,6 +170,8 @@
     pub(crate) id: &'a str,
     /// What of the requests that it carries may end the target.
     pub(crate) exposed: &'a [Exposed],
+    /// The retries of the request; none for a call of this host's own.
+    pub(crate) retries: Option<&'a Arc<Retries>>,
 }
 
 /// Sends a request, which may be processed within `residency`, and waits for the head of its answer.
@@ -221,7 +223,7 @@
     };
     gate::admit(core, link).map_err(SendFault::Blocked)?;
     let mut trace = Trace::begin(core, link, request.exposed);
-    let mut written = Written::begin(core, link);
+    let mut written = Written::begin(core, link, request.retries);
     let mut result = dialed.conn.send(build().map(full), end - core.clock.now()).await;
     if matches!(result, Err(LinkError::Unsent)) && if_closed == IfClosed::Reopen {
         trace.close();
@@ -235,7 +237,7 @@
         };
         gate::admit(core, link).map_err(SendFault::Blocked)?;
         trace = Trace::begin(core, link, request.exposed);
-        written = Written::begin(core, link);
+        written = Written::begin(core, link, request.retries);
         result = dialed.conn.send(build().map(full), end - core.clock.now()).await;
     }
     if let (Err(LinkError::Silent), Wait::Running { most, .. }) = (&result, wait) {
--- a/crates/sched/src/budget.rs
+++ b/crates/sched/src/budget.rs
@@ -15,6 +15,11 @@
 //! budget once more with each restart. So for its first window it spends only what no process
 //! spends otherwise, `YOUNG_SHARE` of the ratio: together with a predecessor that has spent all
 //! it could, that is the ratio of the requests of both.
+//!
+//! Targets count a retry when they read it. A stopped process reads late what was sent early, so
+//! retries that count from their sending would be free again, and be spent elsewhere, within a window
+//! of their arrival. A retry counts from when it is taken until a window after its target is shown to
+//! have read it.
 
 use base::{Ms, PoolId};
 use std::collections::{HashMap, VecDeque};
@@ -27,6 +32,29 @@
 /// the rest.
 const YOUNG_SHARE: f64 = 1.0 - USABLE_SHARE;
 
+/// Who spends the budget of a service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Spender {
+    /// The hosts of its requests.
+    Requests,
+    /// The hosts that compose its calls, for pieces that they send again.
+    Composers,
+    /// The hosts of its requests, for pieces that they hand to a composer again.
+    Submitters,
+}
+
+impl Spender {
+    /// The part that it spends of what may be spent. The parts of composers and submitters add up to
+    /// the whole. Composers send pieces again far more often.
+    const fn part(self) -> f64 {
+        match self {
+            Self::Requests => 1.0,
+            Self::Composers => 0.75,
+            Self::Submitters => 0.25,
+        }
+    }
+}
+
 /// What is known of the retries that this host sent before its process started.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Past {
@@ -51,7 +79,10 @@
 #[derive(Debug, Default)]
 struct Recent {
     requests: VecDeque<Ms>,
-    retries: VecDeque<Ms>,
+    /// Number of retries that targets may still have to read.
+    unread: usize,
+    /// When the others were read at the latest.
+    read: VecDeque<Ms>,
 }
 
 /// This host's share of the budget.
@@ -59,14 +90,20 @@
 pub struct RetryBudget {
     allowance: Allowance,
     past: Past,
+    spender: Spender,
     hosts: usize,
     recent: HashMap<PoolId, Recent>,
 }
 
 impl RetryBudget {
-    /// The budget of a host that knows no other yet.
+    /// The budget of a host that knows no other yet, for requests.
     pub fn new(allowance: Allowance, past: Past) -> Self {
-        Self { allowance, past, hosts: 1, recent: HashMap::new() }
+        Self::of(Spender::Requests, allowance, past)
+    }
+
+    /// The same for any spender.
+    pub fn of(spender: Spender, allowance: Allowance, past: Past) -> Self {
+        Self { allowance, past, spender, hosts: 1, recent: HashMap::new() }
     }
 
     /// Changes the allowance. What has been spent still counts.
@@ -93,29 +130,52 @@
     pub fn has_left(&mut self, now: Ms, service: &PoolId) -> bool {
         let Allowance { ratio, slack, window } = self.allowance;
         let share = slack / self.hosts as f64;
-        let past = self.past;
+        let (past, part) = (self.past, self.spender.part());
         let recent = self.recent(now, service);
         let earned = ratio * recent.requests.len() as f64;
         let limit = match past {
             Past::Unknown(until) if now - until <= window => YOUNG_SHARE * earned,
             Past::Unknown(_) | Past::None => USABLE_SHARE * (earned + share),
         };
-        (recent.retries.len() + 1) as f64 <= limit
+        (recent.unread + recent.read.len() + 1) as f64 <= part * limit
     }
 
-    /// Takes one retry from the budget, if there is one left.
-    pub fn take(&mut self, now: Ms, service: &PoolId) -> bool {
+    /// Takes one retry from the budget, if there is one left. It counts until [`Self::read`] and a
+    /// window more.
+    pub fn send(&mut self, now: Ms, service: &PoolId) -> bool {
         let left = self.has_left(now, service);
         if left {
-            self.recent(now, service).retries.push_back(now);
+            self.recent(now, service).unread += 1;
         }
         left
     }
 
+    /// The same for a retry that its target reads at once.
+    pub fn take(&mut self, now: Ms, service: &PoolId) -> bool {
+        let left = self.send(now, service);
+        if left {
+            self.read(now, service, 1);
+        }
+        left
+    }
+
+    /// Records that targets have read this number of retries by now.
+    pub fn read(&mut self, now: Ms, service: &PoolId, retries: usize) {
+        let recent = self.recent(now, service);
+        recent.unread = recent.unread.saturating_sub(retries);
+        recent.read.extend(std::iter::repeat_n(now, retries));
+    }
+
+    /// Gives back this number of retries, which were not sent.
+    pub fn give_back(&mut self, now: Ms, service: &PoolId, retries: usize) {
+        let recent = self.recent(now, service);
+        recent.unread = recent.unread.saturating_sub(retries);
+    }
+
     fn recent(&mut self, now: Ms, service: &PoolId) -> &mut Recent {
         let window = self.allowance.window;
         let recent = self.recent.entry(service.clone()).or_default();
-        for times in [&mut recent.requests, &mut recent.retries] {
+        for times in [&mut recent.requests, &mut recent.read] {
             while times.front().is_some_and(|at| now - *at > window) {
                 times.pop_front();
             }
