BUDGET: pieces of stages that are sent again take retries, whatever the cause

Stage targets that were full got each piece some nine times in two seconds (754 arrivals beyond the first of each piece in a window, 40 allowed), and stages that ran again or were handed to a second composer came on top, all at no cost.

Cause: a piece took a retry only where its call may have run. A rejected call counts too, and whoever submits a stage again, or to another composer, did not tell that its pieces had been sent.

Change: a piece that a target may have had takes a retry for each further call, when that is sent; what was never sent gives it back (batch/resend.rs). The host of a request pays for stages that it submits again.

--- a/crates/edge/src/composer/offload.rs
+++ b/crates/edge/src/composer/offload.rs
@@ -4,16 +4,18 @@
 
 use base::{Ms, PoolId, RegionId};
 use catalog::Residency;
+use sched::budget::Spender;
 use sched::offload;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use wire::{StageResults, StageWork};
+use wire::{PieceFault, PieceResult, StageResults, StageWork};
 
 use super::submission::residency;
 use super::{Composer, lock};
 use crate::loads;
 use crate::members::Owner;
 use crate::remote::{self, RemoteFault};
+use crate::unread::Retries;
 
 /// Age up to which another region's load is used.
 pub(super) const LOAD_MAX_AGE: Ms = Ms(1_000);
@@ -102,9 +104,14 @@
             Ok(_) => None,
             // The work has expired: there is no time left to make it here either.
             Err(RemoteFault::Late) => Some(StageResults::default()),
-            Err(RemoteFault::Lost) => {
+            Err(fault) => {
                 lock(&self.region_loads).remove(&(service.clone(), region.clone()));
-                None
+                let pieces = work.pieces as usize;
+                let retries = Retries::new(&self.core, service, Spender::Submitters);
+                match fault == RemoteFault::Unreachable || retries.take_all(pieces) {
+                    true => None,
+                    false => Some(failed(pieces)),
+                }
             }
         }
     }
@@ -157,3 +164,9 @@
         }
     }
 }
+
+/// The results of a stage that the other region may have made and that may not be made again.
+fn failed(pieces: usize) -> StageResults {
+    let failed = PieceResult { fault: PieceFault::Failed.into(), ..PieceResult::default() };
+    StageResults { results: vec![failed; pieces], ..StageResults::default() }
+}
--- a/crates/edge/src/remote.rs
+++ b/crates/edge/src/remote.rs
@@ -18,7 +18,9 @@
 pub(crate) enum RemoteFault {
     /// The pieces expired while it had them.
     Late,
-    /// It can't be reached or is not alive; for a while it is not asked to compose for this host.
+    /// It can't be reached, and has got nothing; for a while it is not asked to compose for this host.
+    Unreachable,
+    /// It is not alive, but may have begun; the same.
     Lost,
 }
 
@@ -57,7 +59,10 @@
         Err(PeerError::Silent) if core.clock.now() >= end => Err(RemoteFault::Late),
         Err(err) => {
             suspect(core, &request, host, &err);
-            Err(RemoteFault::Lost)
+            Err(match err {
+                PeerError::Unreachable | PeerError::Refused => RemoteFault::Unreachable,
+                PeerError::Silent | PeerError::Broken => RemoteFault::Lost,
+            })
         }
     }
 }
--- a/crates/edge/src/stages.rs
+++ b/crates/edge/src/stages.rs
@@ -12,6 +12,7 @@
 use futures::future::BoxFuture;
 use futures::stream::FuturesUnordered;
 use logs::note;
+use sched::budget::Spender;
 use std::sync::Arc;
 
 use crate::host::App;
@@ -20,6 +21,7 @@
 use crate::request::Call;
 use crate::results::{Results, StageOutput};
 use crate::submit::{StageFault, submit};
+use crate::unread::Retries;
 
 /// Interval at which a stage that is held back is checked again.
 const RECHECK_INTERVAL: Ms = Ms(50);
@@ -82,6 +84,8 @@
     held: Vec<Option<StageOutput>>,
     /// Whether each stage has been submitted before, so that its targets may have had its pieces.
     submitted: Vec<bool>,
+    /// What submitting them again has taken.
+    retries: Vec<Arc<Retries>>,
     /// When each stage was submitted.
     started: Vec<Option<Ms>>,
     /// When the targets drop each stage's results.
@@ -116,6 +120,7 @@
             done: vec![None; count],
             held: vec![None; count],
             submitted: vec![turn == Turn::Again; count],
+            retries: Vec::new(),
             started: vec![None; count],
             results_expire: vec![Ms::MAX; count],
             running: FuturesUnordered::new(),
@@ -248,12 +253,9 @@
                 self.running.push(Box::pin(async move { (i, Err(StageFault::Outside)) }));
                 continue;
             };
-            if std::mem::replace(&mut self.submitted[i], true) {
-                self.app.core.metrics.pieces_resent(
-                    stage.service.as_str(),
-                    "rerun",
-                    pieces as usize,
-                );
+            if !self.may_submit(i, pieces) {
+                self.running.push(Box::pin(async move { (i, Err(StageFault::Failed)) }));
+                continue;
             }
             let mut work = self.work(i, pieces);
             // The preferred domain is dropped if the request may not be in that domain's region.
@@ -270,6 +272,23 @@
         }
         held_back
     }
+
+    /// Whether a stage may be submitted: for the first time, or with a retry for each of its pieces.
+    fn may_submit(&mut self, i: usize, pieces: u32) -> bool {
+        let core = &self.app.core;
+        let service = &self.call.route.stages[i].service;
+        if !std::mem::replace(&mut self.submitted[i], true) {
+            core.budget(Spender::Submitters).request(core.clock.now(), service);
+            return true;
+        }
+        let retries = Retries::new(core, service, Spender::Submitters);
+        let granted = retries.take_all(pieces as usize);
+        self.retries.push(retries);
+        if granted {
+            core.metrics.pieces_resent(service.as_str(), "rerun", pieces as usize);
+        }
+        granted
+    }
 }
 
 impl Drop for Run<'_> {
--- a/crates/edge/src/submit.rs
+++ b/crates/edge/src/submit.rs
@@ -7,6 +7,7 @@
 use futures::{FutureExt, StreamExt};
 use logs::note;
 use peer::PeerError;
+use sched::budget::Spender;
 use std::sync::Arc;
 use wire::{PieceFault, StageRelease, StageResults, StageWork};
 
@@ -15,6 +16,7 @@
 use crate::members::Owner;
 use crate::remote::{self, RemoteFault};
 use crate::results::StageOutput;
+use crate::unread::Retries;
 
 /// How a stage failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -87,7 +89,9 @@
     work: StageWork,
     begun: Ms,
     open: FuturesUnordered<BoxFuture<'static, (Owner, Result<StageResults, RemoteFault>)>>,
-    /// Whether a composer has been asked.
+    /// Those that asking again has taken.
+    retries: Arc<Retries>,
+    /// Whether a composer has been asked that may have sent pieces.
     asked: bool,
     /// Whether a composer's configuration doesn't declare the service.
     undeclared: bool,
@@ -104,6 +108,7 @@
             work,
             begun,
             open: FuturesUnordered::new(),
+            retries: Retries::new(&app.core, service, Spender::Submitters),
             asked: false,
             undeclared: false,
             failed: None,
@@ -116,8 +121,10 @@
         let settings = core.settings().clone();
         for _ in 0..MAX_COMPOSERS {
             let owner = core.members.owner(&settings, self.service, region)?;
-            self.count_resent();
             let Owner::Peer { host, addr } = owner.clone() else { return None };
+            if !self.may_ask_again() {
+                return Some(self.rest().await);
+            }
             let (from, work) = (core.clone(), self.remaining());
             let (name, peer) = (host.clone(), owner.clone());
             let ask = async move { (peer, remote::ask(&from, &name, addr, work).await) };
@@ -136,17 +143,25 @@
         None
     }
 
-    /// Counts the pieces if another composer has been asked, which may have sent them.
-    fn count_resent(&mut self) {
-        if std::mem::replace(&mut self.asked, true) && !self.undeclared {
-            let pieces = self.work.pieces as usize;
+    /// Whether a composer may be asked: no other one may have sent the pieces, or there is a retry for
+    /// each.
+    fn may_ask_again(&mut self) -> bool {
+        if !std::mem::replace(&mut self.asked, true) {
+            return true;
+        }
+        let pieces = self.work.pieces as usize;
+        let granted = self.retries.take_all(pieces);
+        if granted {
             self.app.core.metrics.pieces_resent(self.service.as_str(), "composer", pieces);
         }
+        granted
     }
 
     /// Composes the stage here.
     async fn own(&mut self, declared: Option<&Batch>) -> Ended {
-        self.count_resent();
+        if !self.may_ask_again() {
+            return self.rest().await;
+        }
         let (composer, work) = (self.app.composer.clone(), self.remaining());
         let declared = declared.cloned();
         let own = async move { (Owner::Me, Ok(composer.submit(work, declared.as_ref()).await)) };
@@ -154,6 +169,11 @@
         self.first(&Owner::Me).await.unwrap_or(Err(StageFault::Failed))
     }
 
+    /// The first results of the composers that have been asked.
+    async fn rest(&mut self) -> Ended {
+        self.first(&Owner::Me).await.unwrap_or(Err(StageFault::Failed))
+    }
+
     /// The first results of any composer; none once the one that was asked last has none. A failure
     /// counts only if nobody else works on the stage.
     async fn first(&mut self, last: &Owner) -> Option<Ended> {
@@ -166,6 +186,7 @@
                     let service = self.service;
                     note!(logs::Event::ServiceUndeclared, request, service = %service, host = %host);
                     self.undeclared = true;
+                    self.asked = false;
                 }
                 (Ok(results), _) if has_fault(&results) && !self.open.is_empty() => {
                     self.failed = Some(Ok((owner, results)));
@@ -180,6 +201,7 @@
                 (Err(RemoteFault::Late), _) => {
                     return self.failed.take().or(Some(Err(StageFault::Late(Ms::ZERO))));
                 }
+                (Err(RemoteFault::Unreachable), _) => self.asked = !self.open.is_empty(),
                 (Err(RemoteFault::Lost), _) => {}
             }
             if owner == *last {
--- a/crates/sched/src/batch/ends.rs
+++ b/crates/sched/src/batch/ends.rs
@@ -7,6 +7,7 @@
 impl Batcher {
     pub(super) fn ended(&mut self, now: Ms, call: CallId, end: CallEnd, out: &mut Vec<Effect>) {
         let Some((id, pieces)) = self.calls.remove(&call) else { return };
+        self.call_ended(now, &id, call, &pieces, &end);
         let no_room = matches!(&end, CallEnd::Done(ends) if ends.contains(&PieceEnd::Room));
         if let Some(target) = self.targets.get_mut(&id) {
             target.learn_room(now, &end, self.config.room);
@@ -100,7 +101,8 @@
         if !counts {
             waiting.attempts -= 1;
         }
-        if waiting.attempts >= MAX_ATTEMPTS || (counts && !self.budget.take(now, &self.service)) {
+        if waiting.attempts >= MAX_ATTEMPTS || (counts && !self.budget.has_left(now, &self.service))
+        {
             self.finish(piece, PieceEnd::Failed, out);
             return;
         }
--- a/crates/sched/src/batch/fill.rs
+++ b/crates/sched/src/batch/fill.rs
@@ -14,10 +14,12 @@
     /// target is left idle for this.
     pub(super) fn fill(&mut self, now: Ms, out: &mut Vec<Effect>) {
         let mut passed = HashSet::new();
+        let left = self.budget.has_left(now, &self.service);
         while self.pieces.values().any(|w| w.queued) {
             let Some(id) = self.free_target(now, &passed) else { return };
             let others = self.free_domains(now, &passed, &id);
-            let pieces = self.choose(now, &id, &others);
+            let pieces = self.choose(now, &id, &others, left);
+            let pieces = self.charge(now, pieces);
             match pieces.is_empty() {
                 true => drop(passed.insert(id)),
                 false => self.call(now, id, pieces, out),
@@ -66,12 +68,13 @@
     }
 
     /// The pieces of the next call to a target, without those that go to a free target in one of
-    /// the failure domains `others`.
+    /// the failure domains `others`, and without those that need a retry unless one is `left`.
     pub(super) fn choose(
         &self,
         now: Ms,
         id: &TargetId,
         others: &HashSet<&DomainId>,
+        left: bool,
     ) -> Vec<PieceId> {
         let Some(target) = self.targets.get(id) else { return Vec::new() };
         let far = |w: &Waiting| w.piece.home.as_ref().is_some_and(|home| *home != target.domain);
@@ -83,7 +86,7 @@
         let queued: Vec<order::Queued<'_>> = self
             .pieces
             .iter()
-            .filter(|(_, w)| w.queued && allowed(w) && !for_other(w))
+            .filter(|(_, w)| Self::may_send(w, left) && allowed(w) && !for_other(w))
             .map(|(id, w)| order::Queued { id: *id, piece: &w.piece, since: w.since, far: far(w) })
             .collect();
         let count = queued.len().min(self.config.size);
--- a/crates/sched/src/batch/mod.rs
+++ b/crates/sched/src/batch/mod.rs
@@ -31,6 +31,7 @@
 mod load;
 mod order;
 mod report;
+mod resend;
 mod room;
 mod target;
 mod types;
@@ -48,8 +49,9 @@
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::Arc;
 
-use crate::budget::{Allowance, Past, RetryBudget};
+use crate::budget::{Allowance, Past, RetryBudget, Spender};
 use late::LateQueue;
+use resend::Resends;
 use target::Target;
 
 /// Largest number of attempts to make one piece: the first one, and two more if targets crash.
@@ -65,6 +67,8 @@
     origin: Arc<Origin>,
     since: Ms,
     attempts: u32,
+    /// Number of calls with it that may have reached a target.
+    sends: u32,
     /// Whether it waits to get into a call. If not, it waits for the end of one.
     queued: bool,
 }
@@ -74,6 +78,7 @@
     service: PoolId,
     config: Batch,
     budget: RetryBudget,
+    resends: Resends,
     targets: BTreeMap<TargetId, Target>,
     pieces: HashMap<PieceId, Waiting>,
     calls: HashMap<CallId, (TargetId, Vec<PieceId>)>,
@@ -96,7 +101,8 @@
             config,
             // Duties move between hosts that live on, so a start of this one tells nothing of what was
             // spent on the service before.
-            budget: RetryBudget::new(allowance, Past::None),
+            budget: RetryBudget::of(Spender::Composers, allowance, Past::None),
+            resends: Resends::default(),
             targets: BTreeMap::new(),
             pieces: HashMap::new(),
             calls: HashMap::new(),
@@ -114,7 +120,7 @@
             Event::SubmitFrom(origin, pieces) => self.submit(now, origin, pieces, out),
             Event::Withdraw(ids) => ids.iter().for_each(|id| drop(self.pieces.remove(id))),
             Event::Ended(call, end) => self.ended(now, call, end, out),
-            Event::Targets(infos) => self.update_targets(&infos, out),
+            Event::Targets(infos) => self.update_targets(now, &infos, out),
             Event::Config(config) => self.config = config,
             Event::Freed(target, handle) => {
                 if let Some(target) = self.targets.get_mut(&target) {
@@ -238,12 +244,13 @@
                 continue;
             }
             let origin = origin.clone();
-            let waiting = Waiting { piece, origin, since: now, attempts: 0, queued: true };
+            let waiting =
+                Waiting { piece, origin, since: now, attempts: 0, sends: 0, queued: true };
             self.pieces.insert(id, waiting);
         }
     }
 
-    fn update_targets(&mut self, infos: &[TargetInfo], out: &mut Vec<Effect>) {
+    fn update_targets(&mut self, now: Ms, infos: &[TargetInfo], out: &mut Vec<Effect>) {
         for (id, target) in &mut self.targets {
             target.live = infos.iter().any(|p| p.id == *id && p.born == target.born);
         }
@@ -255,6 +262,7 @@
                 _ => drop(self.targets.insert(info.id.clone(), Target::new(info))),
             }
         }
+        self.drop_unread(now);
         // Pieces whose last permitted target is gone are ended at once.
         let outside =
             |(id, w): (&PieceId, &Waiting)| (w.queued && self.outside(&w.piece)).then_some(*id);
@@ -285,12 +293,13 @@
     /// Queues the pieces of overdue calls again, once: their target may be slow, or gone without
     /// closing the connection.
     fn overdue(&mut self, now: Ms) {
+        let left = self.budget.has_left(now, &self.service);
         for target in self.targets.values_mut() {
             for call in target.overdue(now) {
                 let Some((_, pieces)) = self.calls.get(&call) else { continue };
                 for piece in pieces {
                     let Some(waiting) = self.pieces.get_mut(piece) else { continue };
-                    if waiting.attempts == 1 && self.budget.take(now, &self.service) {
+                    if waiting.attempts == 1 && left {
                         waiting.queued = true;
                     }
                 }
