LOST: streams go on at their version after all hosts have ended

Cause: which version began a stream was known to the memory of hosts only.

Change: while versions are mixed, each host writes the streams that it begins to the store once a second, and a host reads all of them when it starts. No request waits for the store.

--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -11,6 +11,7 @@
 mod freshness;
 mod log;
 mod model;
+mod origins;
 mod position;
 mod quarantine;
 mod registry;
@@ -24,6 +25,7 @@
     Backend, Batch, Catalog, CatalogError, Engine, Limits, MAX_RANK, RetrySafety, Route, Service,
     Stage, Warmup, Workspace,
 };
+pub use origins::OriginBatch;
 pub use position::Position;
 pub use quarantine::{Finding, MAX_QUARANTINED, Quarantine, QuarantineChanges};
 pub use registry::{LAPSE_GRACE, Observation, Registry, RegistryEvent, Target};
--- a/crates/edge/src/core.rs
+++ b/crates/edge/src/core.rs
@@ -87,6 +87,8 @@
     /// When the last successful read of the list of software versions was sent.
     pub(crate) builds_read: tokio::sync::Mutex<Ms>,
     origins: Mutex<Origins>,
+    /// Whether it was tried to read where streams began that earlier hosts have begun.
+    origins_read: AtomicBool,
     /// Notifies that other hosts may have to be told of streams that began here.
     pub(crate) origins_due: Notify,
     store_readers: Mutex<StoreReaders>,
@@ -178,6 +180,7 @@
             builds: Mutex::default(),
             builds_read: tokio::sync::Mutex::new(Ms::ZERO),
             origins: Mutex::default(),
+            origins_read: AtomicBool::new(false),
             origins_due: Notify::new(),
             store_readers: Mutex::default(),
             store_reader: watch::Sender::new(true),
@@ -338,6 +341,7 @@
     pub(crate) fn ready(&self) -> bool {
         let current = self.version().is_some() && self.keys_usable();
         let known = self.knows_evacuations() && self.knows_builds() && self.knows_quarantine();
+        let known = known && self.origins_read();
         current && known && !self.stopping() && self.links().ready() > 0
     }
 
--- a/crates/edge/src/core/builds.rs
+++ b/crates/edge/src/core/builds.rs
@@ -6,6 +6,7 @@
 use sched::origins::Origins;
 use std::collections::BTreeSet;
 use std::sync::MutexGuard;
+use std::sync::atomic::Ordering;
 
 use super::{Core, lock};
 
@@ -75,6 +76,21 @@
         self.builds().any_mixed() || self.proof_overdue()
     }
 
+    /// Whether callers can take up streams of a service.
+    pub(crate) fn can_take_up(&self, service: &PoolId) -> bool {
+        self.resumable_services().contains(service)
+    }
+
+    /// Records that it was tried to read where streams began that earlier hosts have begun.
+    pub(crate) fn set_origins_read(&self) {
+        self.origins_read.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether that was tried; true if callers can't take streams up.
+    pub(super) fn origins_read(&self) -> bool {
+        self.origins_read.load(Ordering::Relaxed) || self.resumable_services().is_empty()
+    }
+
     fn resumable_services(&self) -> BTreeSet<PoolId> {
         let catalog = self.catalog();
         catalog.map_or_else(BTreeSet::new, |catalog| catalog.resumable_services())
--- a/crates/edge/src/directory.rs
+++ b/crates/edge/src/directory.rs
@@ -4,7 +4,7 @@
 use async_trait::async_trait;
 use base::{Ms, Suspect, TargetId};
 use bytes::Bytes;
-use catalog::{Build, Catalog, Entry, Position};
+use catalog::{Build, Catalog, Entry, OriginBatch, Position};
 use std::sync::Arc;
 use thiserror::Error;
 
@@ -21,6 +21,8 @@
     Builds,
     /// What ends targets: one record for each part of prompts or request.
     Quarantine,
+    /// Streams and the software versions at which they began: one record for each batch of a host.
+    Origins,
 }
 
 /// The declarations, parsed and as text.
@@ -50,6 +52,8 @@
     },
     /// A part of prompts or a request ends targets.
     Quarantined(Suspect),
+    /// Streams of one host.
+    Origins(OriginBatch),
     /// It can't be parsed; holds the reason, for the log.
     Malformed(String),
 }
@@ -167,6 +171,12 @@
     /// Adds what ends targets. Succeeds also if it is listed already.
     async fn quarantine(&self, suspect: Suspect) -> Result<(), DirectoryError>;
 
+    /// Adds streams under a name of their own.
+    async fn add_origins(&self, name: &str, batch: &OriginBatch) -> Result<(), DirectoryError>;
+
+    /// Removes them. Succeeds also if they are gone.
+    async fn remove_origins(&self, name: &str) -> Result<(), DirectoryError>;
+
     /// Parses declarations whose text another host has read from the store.
     fn declared(&self, text: Bytes) -> Result<Declared, DirectoryError>;
 }
--- a/crates/edge/src/evacuate.rs
+++ b/crates/edge/src/evacuate.rs
@@ -75,6 +75,7 @@
         | RecordBody::Target(_)
         | RecordBody::Build { .. }
         | RecordBody::Quarantined(_)
+        | RecordBody::Origins(_)
         | RecordBody::Malformed(_) => {
             note!(logs::Event::EntryMalformed, target = %record.name, why = "not an evacuation");
             None
--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -94,7 +94,8 @@
             RecordBody::Target(_)
             | RecordBody::Evacuation
             | RecordBody::Build { .. }
-            | RecordBody::Quarantined(_) => {}
+            | RecordBody::Quarantined(_)
+            | RecordBody::Origins(_) => {}
             RecordBody::Malformed(why) => {
                 note!(logs::Event::ConfigRefused, name = %record.name, why);
                 return Err(DirectoryError::Malformed(why));
@@ -257,7 +258,8 @@
         RecordBody::Catalog(_)
         | RecordBody::Evacuation
         | RecordBody::Build { .. }
-        | RecordBody::Quarantined(_) => Update::Malformed(record.name),
+        | RecordBody::Quarantined(_)
+        | RecordBody::Origins(_) => Update::Malformed(record.name),
         RecordBody::Malformed(why) => {
             note!(logs::Event::EntryMalformed, target = %record.name, why);
             Update::Malformed(record.name)
--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -6,11 +6,11 @@
 use hyper::{Request, Response, StatusCode};
 use link::{Body, Bounds, Handler, Stop, full};
 use logs::note;
+use sched::budget::Spender;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use sched::budget::Spender;
 use thiserror::Error;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
@@ -24,8 +24,8 @@
 use crate::metrics::Metrics;
 use crate::settings::Settings;
 use crate::{
-    accept, builds, connections, diagnose, ended, evacuate, follow, notify, origin, pause,
-    quarantine, reload, source,
+    accept, builds, connections, diagnose, ended, evacuate, follow, notify, origin, origin_store,
+    pause, quarantine, reload, source,
 };
 
 /// Time for which a stopping host still accepts requests. The platform checks readiness every
@@ -144,6 +144,7 @@
             tokio::spawn(diagnose::ends(core.clone(), outbox.ends)),
             tokio::spawn(diagnose::follow(core.clone())),
             tokio::spawn(origin::tell(core.clone())),
+            tokio::spawn(origin_store::follow(core.clone())),
             tokio::spawn(source::follow(core.clone(), directory)),
             tokio::spawn(reload::follow(core.clone(), path, changed)),
             tokio::spawn(composer.poll_region_loads()),
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -44,6 +44,7 @@
 mod notices;
 mod notify;
 mod origin;
+mod origin_store;
 mod pause;
 mod plain;
 mod quarantine;
--- a/crates/logs/src/event.rs
+++ b/crates/logs/src/event.rs
@@ -76,6 +76,7 @@
     EngineSilent = 216, Info, "An engine has sent nothing of a stream for long; another one is asked to go on, and it is kept until that one has begun.";
     EngineResponds = 217, Info, "An engine that was silent goes on with its stream.";
     OriginFound = 218, Info, "A caller takes up a stream: the software version that began it, and what proves that.";
+    OriginsRead = 219, Info, "The host has read at which software versions streams began that earlier hosts have begun.";
     AnswerMismatch = 300, Warn, "An answer belonged to another request, stage or attempt and was dropped with its connection.";
     ConnectionSilent = 301, Warn, "A connection to a target stopped responding while the target answers on a new one.";
     TargetDead = 302, Warn, "A target does not respond on new connections either.";
--- a/crates/sched/src/origins.rs
+++ b/crates/sched/src/origins.rs
@@ -53,6 +53,8 @@
     records: HashMap<u64, Record>,
     /// Keys of records that no other host has been told of.
     untold: Vec<u64>,
+    /// Keys of streams that this host has begun and that the store doesn't hold.
+    unwritten: Vec<u64>,
 }
 
 impl Origins {
@@ -61,6 +63,7 @@
         let stream = origin.stream;
         if self.insert(now, origin, true) {
             self.untold.push(stream);
+            self.unwritten.push(stream);
         }
     }
 
@@ -88,6 +91,22 @@
         out
     }
 
+    /// At most so many of the streams that this host has begun and the store doesn't hold. They count
+    /// as written from now on.
+    pub fn take_unwritten(&mut self, now: Ms, most: usize) -> Vec<Origin> {
+        let taken = self.unwritten.split_off(self.unwritten.len().saturating_sub(most));
+        let origin = |stream: u64| {
+            let record = self.records.get(&stream).filter(|r| now < r.until)?;
+            Some(Origin { stream, build: record.build.clone(), until: record.until })
+        };
+        taken.into_iter().filter_map(origin).collect()
+    }
+
+    /// Records that these could not be written.
+    pub fn put_back(&mut self, streams: Vec<Origin>) {
+        self.unwritten.extend(streams.into_iter().map(|origin| origin.stream));
+    }
+
     /// Number of records.
     pub fn len(&self) -> usize {
         self.records.len()
@@ -117,6 +136,7 @@
         self.records.retain(|_, record| now < record.until);
         let records = &self.records;
         self.untold.retain(|stream| records.contains_key(stream));
+        self.unwritten.retain(|stream| records.contains_key(stream));
     }
 }
 
