ORDER: an engine is asked when it started on each new connection

Cause: a registration was taken for proof of who answers on a connection, unless several versions were listed or a connection had ended in the host's sight. A host that has just started has seen none.

Change: where callers can take streams up, a target is asked on each new connection, whatever the list says.

--- a/crates/edge/src/restart.rs
+++ b/crates/edge/src/restart.rs
@@ -3,10 +3,11 @@
 //! A target that crashes may come back within a second under the same name and at the same address,
 //! with other software. Until its new registration is known here, requests for the former one reach
 //! it, and nothing in them or in its answers tells the two apart: a stream would go on at another
-//! version, or be recorded as begun at the former one. An open connection proves that the process
-//! is the same. So a target is asked when it started before it gets a stream on a new connection, if
-//! earlier ones have ended or versions are mixed. With one version, and on open connections, that
-//! costs nothing.
+//! version, or be recorded as begun at the former one. A registration is no proof of who answers, with
+//! one version listed as little as with several: the process at the address may be the first one of
+//! another. An open connection proves that the process is the same. So where streams can be taken up, a
+//! target is asked when it started before it gets one on a new connection. That costs a round trip for
+//! each new connection, and nothing on open ones.
 
 use base::Ms;
 use catalog::Residency;
@@ -29,7 +30,7 @@
 /// connection on which it has answered is kept for the next request.
 pub(crate) async fn is_same(core: &Arc<Core>, link: &Arc<Link>, residency: &Residency) -> bool {
     let suspected = link.restart_suspected(core.clock.now());
-    let unproved = core.builds().any_mixed() && !link.pool.has_idle();
+    let unproved = !link.pool.has_idle() && core.can_take_up(&link.entry.service);
     if !suspected && !unproved {
         return true;
     }
