CONFIG: bytes before the head of a response are bounded

Cause: the HTTP library skips interim heads as long as they come, on the host's one thread, and nothing bounded them.

Change: a connection to a server, or to the store, ends after a megabyte without a head. The library may read up to 400 KB of a body together with its head, so the bound is above two such reads.

--- a/crates/link/src/client.rs
+++ b/crates/link/src/client.rs
@@ -15,6 +15,7 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
+use crate::limited::{HeadLimit, LimitedStream};
 use crate::{Body, LinkError, full, read};
 
 /// Limits of a connection pool.
@@ -56,11 +57,20 @@
 type PendingHead =
     Pin<Box<dyn Future<Output = Result<Response<Incoming>, TrySendError<Request<Body>>>> + Send>>;
 
+/// Most bytes that are read from the far end before the head of a response is complete, interim heads
+/// included.
+///
+/// A faulty server may send interim heads without end. The HTTP library skips them as long as they come,
+/// and would keep the thread and its other connections from running. The library may read up to 400 KB of
+/// the body together with the head, twice.
+const MAX_HEAD_BYTES: usize = 1 << 20;
+
 /// A connection, for one request at a time. It is closed when it is dropped without
 /// [`Pool::put`].
 pub struct Conn {
     sender: SendRequest<Body>,
     head: Option<PendingHead>,
+    limit: HeadLimit,
     reused: bool,
     opened: Instant,
     last_used: Instant,
@@ -175,6 +185,8 @@
     where
         S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
     {
+        let limit = HeadLimit::new(MAX_HEAD_BYTES);
+        let stream = LimitedStream::new(stream, limit.clone());
         let handshake = http1::handshake(TokioIo::new(stream)).await;
         let (sender, conn) = handshake.map_err(|_| LinkError::Connect)?;
         tokio::spawn(async move {
@@ -182,7 +194,7 @@
             let _ = conn.await;
         });
         let now = Instant::now();
-        Ok(Self { sender, head: None, reused: false, opened: now, last_used: now })
+        Ok(Self { sender, head: None, limit, reused: false, opened: now, last_used: now })
     }
 
     /// Sends a request and waits for the response's head, for at most `silence`.
@@ -191,6 +203,7 @@
         request: Request<Body>,
         silence: Ms,
     ) -> Result<Response<Incoming>, LinkError> {
+        self.limit.begin();
         self.head = Some(Box::pin(self.sender.try_send_request(request)));
         self.wait(silence).await
     }
@@ -204,6 +217,7 @@
             return Err(LinkError::Silent);
         };
         self.head = None;
+        self.limit.end();
         head.map_err(|err| match err.message() {
             // The request is returned unused: none of it was written.
             Some(_) => LinkError::Unsent,
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -8,6 +8,7 @@
 mod body;
 mod client;
 mod error;
+mod limited;
 mod server;
 
 pub use body::{Body, full, json, read, stream};
