MIXED: a second answer of a stage target is not taken for the next call's

Cause: stage calls carry nothing that their answers name, and any answer with the right number of pieces was taken.

Change: a copy of an earlier answer names results that were handed out before. An answer that names the result of another piece belongs to no call: its connection ends, and the call's pieces are made again. An answer that names no new result proves nothing, so its connection isn't used again.

--- a/crates/edge/src/composer/call.rs
+++ b/crates/edge/src/composer/call.rs
@@ -3,7 +3,7 @@
 use base::{Ms, TargetId};
 use catalog::Residency;
 use logs::note;
-use sched::batch::{CallEnd, CallId, Event, Piece, PieceEnd};
+use sched::batch::{Belongs, CallEnd, CallId, Event, Piece, PieceEnd};
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
@@ -12,8 +12,12 @@
 use crate::dialect::StageCall;
 use crate::exposures::Exposed;
 use crate::gate::BlockReason;
+use crate::links::Link;
 use crate::send::{IfClosed, SendFault, Sending, Via, Wait, send};
 
+/// Least time for which the handles of results are remembered: a second answer may come as long as its
+/// connection is used.
+const RESULT_TTL: Ms = Ms::secs(30);
 /// Pause after a call that this host may not send now.
 const BLOCKED_PAUSE: Ms = Ms(60);
 
@@ -59,6 +63,14 @@
         self.feed(service, Event::Ended(call, end));
     }
 
+    /// Whether the end of a call is that of an answer to it.
+    fn belongs(&self, link: &Link, pieces: &[Piece], end: &CallEnd) -> Belongs {
+        let CallEnd::Done(ends) = end else { return Belongs::Unproved };
+        let now = self.core.clock.now();
+        let time = self.batch_config(&link.entry.service).map_or(RESULT_TTL, |b| b.result_ttl);
+        lock(&self.handed_out).check(now, &link.entry.id, pieces, ends, now + time.max(RESULT_TTL))
+    }
+
     /// Counts the pieces of a call that its target has rejected: they are sent again.
     pub(super) fn count_rejected(&self, service: &Service, end: &CallEnd, pieces: usize) {
         if lack(end).is_some() {
@@ -108,9 +120,16 @@
             }
             Err(_) => return CallEnd::Silent,
         };
-        answered.lease.close();
         let end =
             self.core.dialect.parse_stage_response(answered.parts.status, &answered.head, &body);
+        match self.belongs(&link, pieces, &end) {
+            Belongs::Proved => answered.lease.close(),
+            Belongs::Unproved => answered.lease.close_unproved(),
+            Belongs::No => {
+                note!(logs::Event::AnswerMismatch, target = link.name(), service = %link.entry.service);
+                return CallEnd::Broken;
+            }
+        }
         if let CallEnd::Done(ends) = &end {
             let made = keys.iter().zip(ends).filter(|(_, end)| matches!(end, PieceEnd::Made(_)));
             made.filter_map(|(key, _)| *key)
--- a/crates/edge/src/composer/mod.rs
+++ b/crates/edge/src/composer/mod.rs
@@ -21,7 +21,7 @@
 use base::{Ms, PoolId, RegionId, TargetId};
 use catalog::Batch;
 use logs::note;
-use sched::batch::{Batcher, Effect, Event, GivenUp, PieceId};
+use sched::batch::{Batcher, Effect, Event, GivenUp, HandedOut, PieceId};
 use sched::holders::Holders;
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -34,8 +34,8 @@
 use self::submission::{Submission, Withdraw, origin, piece_ended, piece_started, pieces};
 use crate::core::{Core, allowance};
 
-/// Request id of calls that hosts make on their own account: they belong to no caller's request, so
-/// an answer is accepted whatever request it names, or if it names none.
+/// Request id of calls that hosts make on their own account: they belong to no caller's request, and
+/// their answers name none.
 const NO_REQUEST_ID: &str = "";
 /// Largest answer that is read from a stage target, bytes.
 const MAX_ANSWER_BYTES: usize = 1 << 20;
@@ -71,6 +71,8 @@
     core: Arc<Core>,
     services: Mutex<HashMap<PoolId, Arc<Service>>>,
     next_piece: AtomicU64,
+    /// Results that stage targets have returned.
+    handed_out: Mutex<HandedOut>,
     /// Load of a service in another region: when it was fetched, and the expected wait for a call.
     region_loads: Mutex<HashMap<(PoolId, RegionId), (Ms, Ms)>>,
     /// When another host was last seen to compose a service in this region.
@@ -103,6 +105,7 @@
             core,
             services: Mutex::default(),
             next_piece: AtomicU64::new(1),
+            handed_out: Mutex::default(),
             region_loads: Mutex::default(),
             other_owners: Mutex::default(),
             guests: watch::Sender::new(0),
--- a/crates/edge/src/send.rs
+++ b/crates/edge/src/send.rs
@@ -101,6 +101,12 @@
         self.trace.close_unframed();
     }
 
+    /// Ends it after an answer that may be the second one to an earlier request. The connection isn't used
+    /// again: the answer to this request may still come on it.
+    pub(crate) fn close_unproved(self) {
+        self.trace.close();
+    }
+
     /// Returns the connection to the pool, after the whole answer was read and is valid.
     pub(crate) fn close(self) {
         self.trace.close();
--- a/crates/sched/src/batch/mod.rs
+++ b/crates/sched/src/batch/mod.rs
@@ -27,6 +27,7 @@
 mod fill;
 mod foreign;
 mod full;
+mod handed;
 mod late;
 mod load;
 mod order;
@@ -37,6 +38,7 @@
 mod types;
 
 pub use foreign::ForeignChange;
+pub use handed::{Belongs, HandedOut};
 pub use late::{GivenUp, LateChance};
 pub use load::Origin;
 pub use order::LAST_SHARE;
