DRAIN: failed calls of one host are no outage of the store

Cause: after its own failed calls a host took missing registrations for ones that had lapsed while the store was away, told its followers the same, whose time began anew, and looked for what had expired up to 0.6 s late.

Change: registrations count as lapsed only if no host had an answer of the store for two seconds, as far as proofs tell that hosts pass on to each other. A follower goes by what it has heard itself. What has lapsed is dropped when its time is over.

--- a/crates/catalog/src/freshness.rs
+++ b/crates/catalog/src/freshness.rs
@@ -14,6 +14,10 @@
 /// from the caller, clocks that run at different rates and the time until the target starts work.
 pub const KEY_PROOF_PERCENT: u64 = 80;
 
+/// Time without an answer to anybody after which the store counts as having been away. A registration
+/// that is renewed at each heartbeat lapses after three of them.
+pub const OUTAGE: Ms = Ms(2_000);
+
 /// Whether the last proof is recent enough to accept API keys.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Proof {
@@ -31,6 +35,8 @@
 pub struct Freshness {
     max_age: Ms,
     proved: Option<Ms>,
+    /// When the last span of [`OUTAGE`] or more without a proof ended.
+    back: Option<Ms>,
 }
 
 impl Freshness {
@@ -38,14 +44,24 @@
     /// there is no such limit.
     pub fn new(revoke: Option<Ms>) -> Self {
         let max_age = revoke.map_or(Ms::MAX, |r| r.scale(KEY_PROOF_PERCENT, 100));
-        Self { max_age, proved: None }
+        Self { max_age, proved: None, back: None }
     }
 
     /// Records that a read that can't be stale was sent at `sent` and has been answered.
     pub fn prove(&mut self, sent: Ms) {
+        if self.proved.is_some_and(|before| sent - before >= OUTAGE) {
+            self.back = Some(sent);
+        }
         self.proved = self.proved.max(Some(sent));
     }
 
+    /// Whether the store was away, as far as any host's reads tell that this one has heard of, until a
+    /// time after `since`. That the reads of one host failed says nothing of the store.
+    pub fn was_away(&self, now: Ms, since: Ms) -> bool {
+        let away = self.proved.is_none_or(|proved| now - proved >= OUTAGE);
+        away || self.back.is_some_and(|back| back >= since)
+    }
+
     /// When the read that gave the last proof was sent; `None` before the first proof.
     pub fn proved(&self) -> Option<Ms> {
         self.proved
--- a/crates/edge/src/core.rs
+++ b/crates/edge/src/core.rs
@@ -68,6 +68,8 @@
     pub(crate) compressed: CompressedConfig,
     links: ArcSwap<Links>,
     store: Mutex<StoreView>,
+    /// Notifies of registrations that have lapsed.
+    pub(crate) lapses: Notify,
     budget: Mutex<RetryBudget>,
     /// The budget of stages that this host hands to a composer again.
     stage_budget: Mutex<RetryBudget>,
@@ -168,6 +170,7 @@
             compressed: CompressedConfig::default(),
             links: ArcSwap::from_pointee(Links::default()),
             store: Mutex::new(StoreView::new(revoke)),
+            lapses: Notify::new(),
             quarantine: Mutex::default(),
             sound_parts: Mutex::default(),
             sound_requests: Mutex::default(),
--- a/crates/edge/src/core/known.rs
+++ b/crates/edge/src/core/known.rs
@@ -208,6 +208,11 @@
         lock(&self.store).registry.targets().map(|t| t.entry.clone()).collect()
     }
 
+    /// When the next registration that has lapsed counts as gone; none if none has lapsed.
+    pub(crate) fn next_expiry(&self) -> Option<Ms> {
+        lock(&self.store).registry.next_expiry()
+    }
+
     /// Drops targets whose registration lapsed and was not renewed in time.
     pub(crate) fn expire(&self) {
         let mut view = lock(&self.store);
@@ -223,6 +228,9 @@
     }
 
     fn handle_events(&self, view: &mut StoreView, source: Source, events: Vec<RegistryEvent>) {
+        if view.registry.next_expiry().is_some() {
+            self.lapses.notify_one();
+        }
         if events.is_empty() {
             return;
         }
--- a/crates/edge/src/core/proof.rs
+++ b/crates/edge/src/core/proof.rs
@@ -30,6 +30,12 @@
         self.notify_proof();
     }
 
+    /// Whether the store was away until a time after `since`: no host had an answer, as far as this one
+    /// has heard.
+    pub(crate) fn store_was_away(&self, since: Ms) -> bool {
+        lock(&self.store).freshness.was_away(self.clock.now(), since)
+    }
+
     /// Notifies of the end of a read of the configuration.
     pub(super) fn notify_proof(&self) {
         self.proofs.send_replace(());
--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -162,7 +162,7 @@
             Ok(()) = eras.changed() => Ok(()),
         };
         let Err(err) = result else { continue };
-        gap.failed(&err);
+        gap.failed(core.clock.now(), &err);
         backoff.failed(&err, "targets");
         core.expire();
         tokio::time::sleep(backoff.delay(core.draw()).duration()).await;
@@ -172,31 +172,31 @@
 /// Changes of targets that this host may have missed.
 #[derive(Default)]
 struct Gap {
-    /// Registrations may have lapsed while the store was unreachable.
-    lapsed: bool,
+    /// Registrations may have lapsed while the store was unreachable: the time of the first failed call; none if there was none.
+    lapsed: Option<Ms>,
     /// The store no longer has the history since the last watch, or has another one.
     compacted: bool,
 }
 
 impl Gap {
     fn exists(&self) -> bool {
-        self.lapsed || self.compacted
+        self.lapsed.is_some() || self.compacted
     }
 
-    fn failed(&mut self, err: &DirectoryError) {
+    fn failed(&mut self, now: Ms, err: &DirectoryError) {
         match err {
             DirectoryError::Compacted | DirectoryError::Restored => self.compacted = true,
             DirectoryError::Busy(_) | DirectoryError::Down | DirectoryError::Malformed(_) => {
-                self.lapsed = true;
+                self.lapsed.get_or_insert(now);
             }
         }
     }
 
-    /// Closes the gap after a list has arrived. If the store was unreachable before, returns the
-    /// time until which missing targets count as lapsed.
-    fn listed(&mut self, now: Ms) -> Option<Ms> {
-        let lapsed = std::mem::take(self).lapsed;
-        lapsed.then_some(now + LAPSE_GRACE)
+    /// Closes the gap after a list has arrived. If the store was away, returns the time until which
+    /// missing targets count as lapsed. Where only this host's calls failed, what is missing is gone.
+    fn listed(&mut self, core: &Core) -> Option<Ms> {
+        let since = std::mem::take(self).lapsed?;
+        core.store_was_away(since).then(|| core.clock.now() + LAPSE_GRACE)
     }
 }
 
@@ -219,7 +219,7 @@
         let Some(since) = since else {
             let (records, position) = list(core, directory, Kind::Targets).await?;
             backoff.succeeded();
-            let lapse = gap.listed(core.clock.now());
+            let lapse = gap.listed(core);
             lapse.into_iter().for_each(|until| core.keep_missing_until(until));
             apply_list(core, records, position);
             list_at = core.clock.now() + LIST_INTERVAL;
--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -24,8 +24,8 @@
 use crate::metrics::Metrics;
 use crate::settings::Settings;
 use crate::{
-    accept, builds, connections, diagnose, ended, evacuate, follow, notify, origin, origin_store,
-    pause, quarantine, reload, source,
+    accept, builds, connections, diagnose, ended, evacuate, expiry, follow, notify, origin,
+    origin_store, pause, quarantine, reload, source,
 };
 
 /// Time for which a stopping host still accepts requests. The platform checks readiness every
@@ -145,6 +145,7 @@
             tokio::spawn(diagnose::follow(core.clone())),
             tokio::spawn(origin::tell(core.clone())),
             tokio::spawn(origin_store::follow(core.clone())),
+            tokio::spawn(expiry::follow(core.clone())),
             tokio::spawn(source::follow(core.clone(), directory)),
             tokio::spawn(reload::follow(core.clone(), path, changed)),
             tokio::spawn(composer.poll_region_loads()),
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -32,6 +32,7 @@
 mod ended;
 mod evacuate;
 mod events;
+mod expiry;
 mod exposures;
 mod follow;
 mod gate;
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -5,7 +5,7 @@
 
 use base::{DomainId, Ms, Suspect};
 use bytes::Bytes;
-use catalog::{Build, Delta, Entry, Position, TargetState, Update};
+use catalog::{Build, Delta, Entry, LAPSE_GRACE, Position, TargetState, Update};
 use flate2::Compression;
 use flate2::read::{ZlibDecoder, ZlibEncoder};
 use std::io::{self, Read};
@@ -217,8 +217,9 @@
     if position.is_some_and(|position| !core.note_era(position.era)) {
         return Err(SyncError::Outdated);
     }
-    if news.lapse_ms > 0 {
-        core.keep_missing_until(core.clock.now() + Ms(news.lapse_ms));
+    let now = core.clock.now();
+    if news.lapse_ms > 0 && core.store_was_away(now - LAPSE_GRACE.scale(2, 1)) {
+        core.keep_missing_until(now + Ms(news.lapse_ms));
     }
     if let Some(list) = &news.builds {
         apply_builds(core, list);
