CONFIG: a host that starts asks others before it trusts a store that came back older

Cause: a read of the store was taken for proof of the newest configuration, whatever the store had lost. The hosts that ran before held the newer one.

--- a/crates/edge/src/core.rs
+++ b/crates/edge/src/core.rs
@@ -89,6 +89,8 @@
     /// When the last successful read of the list of software versions was sent.
     pub(crate) builds_read: tokio::sync::Mutex<Ms>,
     origins: Mutex<Origins>,
+    /// Whether other hosts were asked for the newest configuration, where that was needed.
+    newest_asked: AtomicBool,
     /// Whether it was tried to read where streams began that earlier hosts have begun.
     origins_read: AtomicBool,
     /// Notifies that other hosts may have to be told of streams that began here.
@@ -183,6 +185,7 @@
             builds: Mutex::default(),
             builds_read: tokio::sync::Mutex::new(Ms::ZERO),
             origins: Mutex::default(),
+            newest_asked: AtomicBool::new(false),
             origins_read: AtomicBool::new(false),
             origins_due: Notify::new(),
             store_readers: Mutex::default(),
@@ -344,7 +347,7 @@
     pub(crate) fn ready(&self) -> bool {
         let current = self.version().is_some() && self.keys_usable();
         let known = self.knows_evacuations() && self.knows_builds() && self.knows_quarantine();
-        let known = known && self.origins_read();
+        let known = known && self.origins_read() && self.holds_newest();
         current && known && !self.stopping() && self.links().ready() > 0
     }
 
--- a/crates/edge/src/core/eras.rs
+++ b/crates/edge/src/core/eras.rs
@@ -2,6 +2,7 @@
 
 use catalog::{LAPSE_GRACE, Position};
 use logs::note;
+use std::sync::atomic::Ordering;
 use tokio::sync::watch;
 
 use super::{Core, lock};
@@ -33,6 +34,21 @@
         true
     }
 
+    /// The newest era of the store that this host has heard of; none before the first answer.
+    pub(crate) fn era(&self) -> Option<u64> {
+        lock(&self.store).era
+    }
+
+    /// Records that other hosts were asked for the newest configuration, where that was needed.
+    pub(crate) fn set_newest_asked(&self) {
+        self.newest_asked.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether this host holds the newest configuration that any host can know.
+    pub(crate) fn holds_newest(&self) -> bool {
+        self.newest_asked.load(Ordering::Relaxed)
+    }
+
     /// Whether a position is in the newest era of the store that this host has heard of.
     pub(crate) fn in_newest_era(&self, position: Position) -> bool {
         lock(&self.store).era.is_none_or(|era| position.era >= era)
--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -24,7 +24,7 @@
 use crate::metrics::Metrics;
 use crate::settings::Settings;
 use crate::{
-    accept, builds, connections, diagnose, ended, evacuate, expiry, follow, notify, origin,
+    accept, builds, connections, diagnose, ended, evacuate, expiry, follow, newest, notify, origin,
     origin_store, pause, quarantine, reload, source,
 };
 
@@ -146,6 +146,7 @@
             tokio::spawn(origin::tell(core.clone())),
             tokio::spawn(origin_store::follow(core.clone())),
             tokio::spawn(expiry::follow(core.clone())),
+            tokio::spawn(newest::find(core.clone(), directory.clone())),
             tokio::spawn(source::follow(core.clone(), directory)),
             tokio::spawn(reload::follow(core.clone(), path, changed)),
             tokio::spawn(composer.poll_region_loads()),
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -42,6 +42,7 @@
 mod loads;
 mod members;
 mod metrics;
+mod newest;
 mod notices;
 mod notify;
 mod origin;
--- a/crates/edge/src/request.rs
+++ b/crates/edge/src/request.rs
@@ -191,7 +191,8 @@
     if app.closed() {
         return Err(refused(Reason::Stopping));
     }
-    if !core.knows_evacuations() || !core.knows_builds() || !core.knows_quarantine() {
+    let known = core.knows_evacuations() && core.knows_builds() && core.knows_quarantine();
+    if !known || !core.holds_newest() {
         return Err(refused(Reason::NoConfig));
     }
     let allowed = workspace.as_ref().map_or(Residency::Anywhere, |w| w.residency.clone());
--- a/crates/edge/src/source.rs
+++ b/crates/edge/src/source.rs
@@ -127,16 +127,21 @@
     bounds.revoke_ms.scale(KEY_WAIT_PERCENT, 100).min(targets).min(evacuation)
 }
 
-async fn query(core: &Arc<Core>, directory: &dyn Directory, host: &HostId, addr: SocketAddr) {
-    let query = StoreQuery {
+/// A query for what this host lacks, which waits for so long until there is something.
+pub(crate) fn store_query(core: &Core, wait: Ms) -> StoreQuery {
+    StoreQuery {
         version: core.version().unwrap_or_default(),
         revision: core.position().map_or(0, Position::pack),
-        wait_ms: query_wait(core).0,
+        wait_ms: wait.0,
         urgent: core.proof_overdue(),
         evacuation: core.gate.evacuations().known().map_or(0, Position::pack),
         builds: core.builds().position().map_or(0, Position::pack),
         suspects: core.quarantine().position().map_or(0, Position::pack),
-    };
+    }
+}
+
+async fn query(core: &Arc<Core>, directory: &dyn Directory, host: &HostId, addr: SocketAddr) {
+    let query = store_query(core, query_wait(core));
     let sent = core.clock.now();
     let paused = core.pauses.lost();
     let answer = core.members.peers().store(addr, query).await;
