--- a/crates/sched/src/batch/full.rs
+++ b/crates/sched/src/batch/full.rs
@@ -1,8 +1,7 @@
 //! Backs off from targets that respond that they are full.
 //!
 //! A target's queue and its memory may be occupied by calls and results of a composer that is gone.
-//! With a fixed pause, a new composer would send one call after another there until they expire. Each
-//! rejected call is an arrival of all its pieces, so the target is asked for a report before the next.
+//! With a fixed pause, a new composer would send one call after another there until they expire.
 
 use base::Ms;
 
@@ -14,8 +13,6 @@
 pub(super) struct FullBackoff {
     rejections: u32,
     until: Ms,
-    /// Whether a report has yet to show that it would take a call.
-    asks: bool,
 }
 
 impl FullBackoff {
@@ -25,7 +22,6 @@
     pub(super) fn rejected(&mut self, now: Ms, call: Ms, draw: u64) {
         let pause = FIRST_PAUSE.scale(1 << self.rejections.min(8), 1).min(call);
         self.rejections += 1;
-        self.asks = true;
         self.until = now + pause - Ms(draw % (pause.0 / 4 + 1));
     }
 
@@ -38,17 +34,6 @@
     /// still longer, because the report may be outdated.
     pub(super) fn end(&mut self, now: Ms) {
         self.until = self.until.min(now);
-        self.asks = false;
-    }
-
-    /// Records that the target sends no report: only the pause counts.
-    pub(super) fn no_report(&mut self) {
-        self.asks = false;
-    }
-
-    /// Whether a report is needed.
-    pub(super) fn asks(&self) -> bool {
-        self.asks
     }
 
     /// When the pause ends.
--- a/crates/sched/src/batch/report.rs
+++ b/crates/sched/src/batch/report.rs
@@ -65,18 +65,12 @@
 
     /// Takes a target's report. Without one, the accounting stays as it is.
     pub(super) fn reported(&mut self, now: Ms, id: &TargetId, report: Option<TargetReport>) {
-        let Some(target) = self.targets.get_mut(id) else { return };
-        let Some(report) = report else {
-            target.full.no_report();
-            return;
-        };
+        let (Some(target), Some(report)) = (self.targets.get_mut(id), report) else { return };
         let own = target.own(now);
         let foreign = self.config.room.saturating_sub(report.free).saturating_sub(own);
         target.foreign.report(foreign, now + self.config.result_ttl);
         if report.queued == 0 || report.busy < self.config.slots {
             target.full.end(now);
-        } else if target.full.asks() {
-            target.report.request();
         }
     }
 
--- a/crates/sched/src/batch/target.rs
+++ b/crates/sched/src/batch/target.rs
@@ -108,7 +108,7 @@
     }
 
     pub(super) fn usable(&self, now: Ms) -> bool {
-        self.live && !self.full.asks() && self.paused_until.max(self.full.until()) <= now
+        self.live && self.paused_until.max(self.full.until()) <= now
     }
 
     /// Whether it takes part in the service's throughput. A target that is only full does.
