--- a/crates/edge/src/diagnose.rs
+++ b/crates/edge/src/diagnose.rs
@@ -8,7 +8,7 @@
 use logs::note;
 use peer::ViewHost;
 use sched::suspects::{
-    BrokenRequest, Candidate, DIAGNOSERS, Diagnosis, Ends, Observed, PROBATION, collectors,
+    BrokenRequest, Candidate, DIAGNOSERS, Diagnosis, Ends, Observed, collectors,
 };
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
@@ -42,10 +42,8 @@
 
 /// Reports a request that was at a target which is proved to have ended, at `at`.
 pub(crate) fn report(core: &Core, target: &TargetId, exposure: Exposure, at: Ms) {
-    let Exposure { exposed, sent, begun, left, .. } = exposure;
-    let gone = left.map_or(at, |(gone, _)| gone);
-    // An engine that a part ends is gone soon after it has begun to answer.
-    let suspected = begun.is_some_and(|begun| gone - begun < PROBATION);
+    let suspected = exposure.suspects_parts(at);
+    let Exposure { exposed, sent, .. } = exposure;
     let parts = if suspected { exposed.parts } else { Arc::default() };
     let ended = Ended { target: target.clone(), request: exposed.request, parts, sent, at };
     core.members.queue_end(ended);
--- a/crates/edge/src/ended.rs
+++ b/crates/edge/src/ended.rs
@@ -117,7 +117,10 @@
     let links: Vec<Arc<Link>> = core.suspicions.links().clone();
     let known = core.links();
     for link in &links {
-        link.exposures().expire(now);
+        let unproved = link.exposures().expire(now);
+        if unproved > 0 {
+            note!(logs::Event::EndUnproved, target = link.name(), requests = unproved);
+        }
         if known.supersedes(link) {
             end(core, link, Proof::Registered);
         }
@@ -155,7 +158,7 @@
     let Some(first) = link.exposures().first_left() else { return };
     // One that has ended closes all its connections.
     if link.pool.holds_older_than(begun - first) {
-        link.exposures().refute(begun);
+        refute(&link, begun, "connection");
         return;
     }
     match ask(&core, &link).await {
@@ -165,7 +168,7 @@
         }
         Answer::Started(at) => match link.set_started(Some(at)) {
             Some(before) if before != at => end(&core, &link, Proof::Report),
-            Some(_) => link.exposures().refute(begun),
+            Some(_) => refute(&link, begun, "report"),
             None => {}
         },
         Answer::Untold => link.exposures().asked(begun),
@@ -173,6 +176,14 @@
     }
 }
 
+/// Drops the suspicions that a target refutes which still runs at `now`, as `evidence` shows.
+fn refute(link: &Link, now: Ms, evidence: &'static str) {
+    let requests = link.exposures().refute(now);
+    if requests > 0 {
+        note!(logs::Event::EndRefuted, target = link.name(), evidence, requests);
+    }
+}
+
 /// Asks a target on a new connection when it started. It is never asked through another host: that host
 /// would answer for itself whether it can be reached.
 async fn ask(core: &Core, link: &Link) -> Answer {
@@ -207,6 +218,7 @@
         target = %target,
         evidence = proof.name(),
         requests = taken.len(),
+        suspected = taken.iter().filter(|e| e.suspects_parts(at)).count(),
         keys = keys.map(|key| format!("{key:x}")).collect::<Vec<_>>().join(",")
     );
     core.metrics.target_ended(proof.name());
--- a/crates/edge/src/exposures.rs
+++ b/crates/edge/src/exposures.rs
@@ -7,6 +7,7 @@
 //! ended, see [`crate::ended`].
 
 use base::Ms;
+use sched::suspects::PROBATION;
 use std::sync::Arc;
 
 use crate::core::Core;
@@ -58,6 +59,13 @@
 }
 
 impl Exposure {
+    /// Whether the parts of its prompt may have ended the target, which was gone at `at`: an engine that a
+    /// part ends is gone soon after it has begun to answer.
+    pub(crate) fn suspects_parts(&self, at: Ms) -> bool {
+        let gone = self.left.map_or(at, |(gone, _)| gone);
+        self.begun.is_some_and(|begun| gone - begun < PROBATION)
+    }
+
     /// Whether a target that still runs at `now` has not ended under it.
     fn is_refuted(&self, now: Ms) -> bool {
         match self.left {
@@ -98,14 +106,18 @@
         self.list.iter_mut().filter(|e| e.is_refuted(now)).for_each(|e| e.asked = true);
     }
 
-    /// Drops those that were left too long ago.
-    pub(crate) fn expire(&mut self, now: Ms) {
+    /// Drops those that were left too long ago. Returns how many.
+    pub(crate) fn expire(&mut self, now: Ms) -> usize {
+        let before = self.list.len();
         self.list.retain(|e| e.left.is_none_or(|(at, _)| now - at < KEEP_TIME));
+        before - self.list.len()
     }
 
-    /// Drops those that a target refutes which still runs at `now`.
-    pub(crate) fn refute(&mut self, now: Ms) {
+    /// Drops those that a target refutes which still runs at `now`. Returns how many.
+    pub(crate) fn refute(&mut self, now: Ms) -> usize {
+        let before = self.list.len();
         self.list.retain(|e| !e.is_refuted(now));
+        before - self.list.len()
     }
 
     /// Drops answers without framing that ended some time before the target answered at `now`.
--- a/crates/logs/src/event.rs
+++ b/crates/logs/src/event.rs
@@ -124,8 +124,10 @@
     StagesCut = 344, Warn, "The grace period of a stopping host ended while it composed stages of other hosts, which have them run again.";
     SecondAttempt = 345, Info, "A target has not answered a request that may be repeated; it is also sent to another one, and the first attempt stays open.";
     AttemptDropped = 346, Info, "An attempt without an answer was dropped because another target has answered the request, or goes on with it.";
-    EndCounted = 347, Warn, "It is proved that a target has ended: by what, and the keys of the requests that may be the cause.";
+    EndCounted = 347, Warn, "It is proved that a target has ended: by what, the keys of the requests that may be the cause, and for how many of them the parts of their prompts may be.";
     SendReadLate = 348, Info, "A target was shown to have read a request only long after it was sent: a later request was answered.";
+    EndRefuted = 349, Info, "A target lives on whose connections had ended under requests: by what that is known, and how many requests are no longer suspected.";
+    EndUnproved = 350, Warn, "Requests were left unanswered at a target, and nothing showed in time whether it has ended.";
     JournalUnavailable = 400, Warn, "A key could not be recorded; its request was refused.";
     FinishRetried = 401, Warn, "The outcome of a keyed request could not be recorded yet; the write is retried.";
     FinishLost = 402, Error, "The outcome of a keyed request could not be recorded; re-sends are answered as unknown.";
