MIXED: a response that is cut is reset for callers of HTTP/1.0

A stream that broke off ended for a caller of HTTP/1.0 as a whole one: a 200, its events, and a connection that closes. Such a caller has no chunks, so the end of the connection is the end of the response.

Cause: the host closed the connection of a truncated response in the same way for all callers.

Change: while a response is open that has neither a length nor chunks, its connection is reset if it is given up. The caller's system then reports an error in place of an end.

--- a/crates/edge/src/accept.rs
+++ b/crates/edge/src/accept.rs
@@ -8,7 +8,7 @@
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{HeaderMap, Request, Response, header};
+use hyper::{HeaderMap, Request, Response, Version, header};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use link::Stop;
 use logs::note;
@@ -59,6 +59,17 @@
     }
 }
 
+impl Drop for MonitoredStream {
+    /// To a caller of HTTP/1.0 a connection that is closed ends the response as if it were whole. Only a
+    /// reset tells that it isn't.
+    fn drop(&mut self) {
+        if self.activity.is_unframed() {
+            // A failure leaves the connection to be closed.
+            let _ = self.tcp.set_zero_linger();
+        }
+    }
+}
+
 impl AsyncRead for MonitoredStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
@@ -108,6 +119,9 @@
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         let this = &mut *self;
+        if this.activity.is_unframed() {
+            return Poll::Ready(Ok(()));
+        }
         if let Some(linger) = &mut this.linger {
             return linger.poll(&mut this.tcp, cx).map(Ok);
         }
@@ -254,6 +268,7 @@
     activity.request_started();
     let guard = OpenGuard(activity.clone());
     let keeps = !is_close(request.headers());
+    let version = request.version();
     let core = app.core.clone();
     let handled = AssertUnwindSafe(request::handle(app, &activity, request)).catch_unwind();
     let mut response = handled.await.unwrap_or_else(|_| panic_response(&core, &activity));
@@ -268,6 +283,8 @@
         false => {}
     }
     activity.request_reached(Phase::Answering);
+    let unframed = version < Version::HTTP_11 && response.body().size_hint().exact().is_none();
+    activity.set_unframed(unframed);
     Ok(response.map(|body| GuardedBody { body, guard }.boxed_unsync()))
 }
 
@@ -318,8 +335,10 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Truncated>>> {
         let polled = Pin::new(&mut self.body).poll_frame(cx);
-        if let Poll::Ready(Some(Err(Truncated))) = polled {
-            self.guard.0.response_truncated();
+        match polled {
+            Poll::Ready(Some(Err(Truncated))) => self.guard.0.response_truncated(),
+            Poll::Ready(None) => self.guard.0.set_unframed(false),
+            _ => {}
         }
         polled
     }
--- a/crates/edge/src/activity.rs
+++ b/crates/edge/src/activity.rs
@@ -85,6 +85,8 @@
     /// The idle limit that the caller was told last, or that held when it connected.
     idle_limit: Ms,
     truncated: bool,
+    /// Whether a response is open whose end the caller can tell only by that of the connection.
+    unframed: bool,
     announced: bool,
     unread: bool,
 }
@@ -116,6 +118,7 @@
             head_since: None,
             idle_limit,
             truncated: false,
+            unframed: false,
             announced: false,
             unread: false,
         };
@@ -198,6 +201,17 @@
         self.state().truncated = true;
     }
 
+    /// Records that a response begins, or has been sent to its end, that the caller can tell to be whole only
+    /// by the end of the connection.
+    pub(crate) fn set_unframed(&self, open: bool) {
+        self.state().unframed = open;
+    }
+
+    /// Whether such a response is open: if the connection is closed now, it looks whole.
+    pub(crate) fn is_unframed(&self) -> bool {
+        self.state().unframed
+    }
+
     /// Records that a response told the caller this idle limit.
     pub(crate) fn idle_limit_told(&self, limit: Ms) {
         self.state().idle_limit = limit;
