--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -27,6 +27,6 @@
 };
 pub use origins::OriginBatch;
 pub use position::Position;
-pub use quarantine::{Finding, MAX_QUARANTINED, Quarantine, QuarantineChanges};
+pub use quarantine::{Finding, MAX_QUARANTINED, Quarantine, QuarantineChanges, QuarantineList};
 pub use registry::{LAPSE_GRACE, Observation, Registry, RegistryEvent, Target};
 pub use residency::Residency;
--- a/crates/catalog/src/quarantine.rs
+++ b/crates/catalog/src/quarantine.rs
@@ -4,9 +4,12 @@
 //! A host that knows of one learned it from targets that ended. Hosts that join, or that are all
 //! restarted, would learn it from more. So what was found is kept in the store, where it stays until
 //! an operator removes it: to find out whether it still ends targets would end targets.
+//!
+//! Only the removal itself, as a watch reports it, lifts one. That a list lacks it shows nothing: the store
+//! may have come back from an older copy, and need not say so. It is written again then.
 
 use base::Suspect;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
 use crate::Position;
 
@@ -22,11 +25,30 @@
     Listed,
 }
 
+/// Largest number of removals that are passed on to hosts that don't watch the store.
+const MAX_LIFTED: usize = 64;
+
 /// The list, as this host knows it.
 #[derive(Debug, Default)]
 pub struct Quarantine {
     position: Option<Position>,
     suspects: BTreeMap<Suspect, Standing>,
+    /// The last removals, the newest at the end.
+    lifted: VecDeque<Suspect>,
+}
+
+/// The list as it was read at a position of the store.
+#[derive(Clone, Copy, Debug)]
+pub struct QuarantineList<'a> {
+    /// The position.
+    pub position: Position,
+    /// What the store lists.
+    pub listed: &'a [Suspect],
+    /// What an operator has removed, as reports of the removals show.
+    pub removed: &'a [Suspect],
+    /// Whether this host has read it from the store itself. The store's reads are never stale, so one from
+    /// before what is known shows that the store has come back older.
+    pub own: bool,
 }
 
 /// What became of a suspect that was found.
@@ -47,31 +69,35 @@
     pub added: Vec<Suspect>,
     /// Those that an operator has removed.
     pub lifted: Vec<Suspect>,
+    /// Those that the store no longer lists, though nobody is known to have removed them.
+    pub missing: Vec<Suspect>,
 }
 
 impl Quarantine {
-    /// Applies the list as it was read at a position of the store. None if it is not newer than what
-    /// is known.
-    ///
-    /// One that the store listed and no longer lists was removed by an operator, unless the store
-    /// has come back from an older copy meanwhile: then it has to be listed again.
-    pub fn apply(&mut self, read: Position, listed: &[Suspect]) -> Option<QuarantineChanges> {
-        if self.position.is_some_and(|known| read <= known) {
+    /// Applies the list. None if it is not newer than what is known, and another host has read it.
+    pub fn apply(&mut self, read: QuarantineList<'_>) -> Option<QuarantineChanges> {
+        let QuarantineList { position, listed, removed, own } = read;
+        let newer = self.position.is_none_or(|known| position > known);
+        if !newer && !own {
             return None;
         }
-        let restored = self.position.is_some_and(|known| known.era != read.era);
-        self.position = Some(read);
+        self.position = self.position.max(Some(position));
         let mut changes = QuarantineChanges::default();
         for (suspect, standing) in &mut self.suspects {
             match standing {
+                Standing::Found if listed.contains(suspect) => *standing = Standing::Listed,
                 Standing::Listed if listed.contains(suspect) => {}
-                Standing::Listed if restored => *standing = Standing::Found,
-                Standing::Listed => changes.lifted.push(*suspect),
+                Standing::Listed if removed.contains(suspect) => changes.lifted.push(*suspect),
+                Standing::Listed => {
+                    *standing = Standing::Found;
+                    changes.missing.push(*suspect);
+                }
                 Standing::Found => {}
             }
         }
         self.suspects.retain(|suspect, _| !changes.lifted.contains(suspect));
-        for suspect in listed {
+        self.note_lifted(&changes.lifted, listed);
+        for suspect in listed.iter().filter(|_| newer) {
             let known = self.suspects.contains_key(suspect);
             if known || !self.is_full(*suspect) {
                 self.suspects.insert(*suspect, Standing::Listed);
@@ -83,6 +109,18 @@
         Some(changes)
     }
 
+    fn note_lifted(&mut self, lifted: &[Suspect], listed: &[Suspect]) {
+        self.lifted.retain(|suspect| !lifted.contains(suspect) && !listed.contains(suspect));
+        self.lifted.extend(lifted);
+        let excess = self.lifted.len().saturating_sub(MAX_LIFTED);
+        self.lifted.drain(..excess);
+    }
+
+    /// The last removals, for hosts that don't watch the store.
+    pub fn lifted(&self) -> impl Iterator<Item = Suspect> + '_ {
+        self.lifted.iter().copied()
+    }
+
     /// Adds a suspect that was found.
     pub fn found(&mut self, suspect: Suspect) -> Finding {
         match () {
--- a/crates/edge/src/core.rs
+++ b/crates/edge/src/core.rs
@@ -81,6 +81,8 @@
     pub(crate) suspicions: Suspicions,
     /// Notifies that there are new ends of targets.
     pub(crate) ends_due: Notify,
+    /// Notifies that the cause of ends was looked for.
+    pub(crate) ends_looked: Notify,
     /// Notifies of parts and requests that are refused from now on.
     suspects_found: watch::Sender<()>,
     estimate: Mutex<Estimate>,
@@ -179,6 +181,7 @@
             suspicions: Suspicions::default(),
             ends: Mutex::default(),
             ends_due: Notify::new(),
+            ends_looked: Notify::new(),
             suspects_found: watch::Sender::new(()),
             estimate: Mutex::default(),
             subjects: Mutex::default(),
--- a/crates/edge/src/core/quarantine.rs
+++ b/crates/edge/src/core/quarantine.rs
@@ -1,7 +1,7 @@
 //! What a host knows of parts of prompts and requests that end targets.
 
 use base::{Ms, Suspect, TargetId};
-use catalog::{Finding, Position, Quarantine};
+use catalog::{Finding, Quarantine, QuarantineList};
 use logs::note;
 use sched::sound::SoundParts;
 use sched::suspects::{Diagnosis, Ends};
@@ -106,9 +106,11 @@
         true
     }
 
-    /// Applies the list as it was at a position of the store.
-    pub(crate) fn apply_quarantine(&self, position: Position, listed: &[Suspect]) {
-        let Some(changes) = self.quarantine().apply(position, listed) else { return };
+    /// Applies the list as it was at a position of the store. Returns what it lacks though nobody is known
+    /// to have removed it.
+    pub(crate) fn apply_quarantine(&self, read: QuarantineList<'_>) -> Vec<Suspect> {
+        let position = read.position;
+        let Some(changes) = self.quarantine().apply(read) else { return Vec::new() };
         for suspect in &changes.added {
             self.ends().quarantined(*suspect);
             self.refuse(*suspect);
@@ -117,8 +119,14 @@
             self.ends().lifted(*suspect);
             note!(logs::Event::PartLifted, suspect = %suspect, position = %position);
         }
+        for suspect in &changes.missing {
+            note!(logs::Event::PartMissing, suspect = %suspect, position = %position);
+        }
         self.record_quarantined();
         self.changed.send_replace(());
+        // Whoever reads the store writes them again.
+        self.suspects_found.send_replace(());
+        changes.missing
     }
 
     fn refuse(&self, suspect: Suspect) {
--- a/crates/edge/src/diagnose.rs
+++ b/crates/edge/src/diagnose.rs
@@ -8,7 +8,7 @@
 use logs::note;
 use peer::ViewHost;
 use sched::suspects::{
-    BrokenRequest, Candidate, DIAGNOSERS, Diagnosis, Ends, Observed, collectors,
+    BrokenRequest, Candidate, DIAGNOSERS, Diagnosis, Ends, Observed, Running, collectors,
 };
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
@@ -18,6 +18,7 @@
 
 use crate::core::Core;
 use crate::exposures::Exposure;
+use crate::links::{Link, Links};
 use crate::members::MAX_PARALLEL_CALLS;
 use crate::notify::collect;
 use crate::request::Call;
@@ -36,19 +37,41 @@
     request: Option<u64>,
     /// The shared parts of its prompt, in order.
     parts: Arc<[u64]>,
+    begun: bool,
     sent: Ms,
     at: Ms,
 }
 
 /// Reports a request that was at a target which is proved to have ended, at `at`.
 pub(crate) fn report(core: &Core, target: &TargetId, exposure: Exposure, at: Ms) {
-    let suspected = exposure.suspects_parts(at);
-    let Exposure { exposed, sent, .. } = exposure;
+    let suspected = exposure.suspects_parts();
+    let Exposure { exposed, begun, sent, .. } = exposure;
     let parts = if suspected { exposed.parts } else { Arc::default() };
-    let ended = Ended { target: target.clone(), request: exposed.request, parts, sent, at };
+    let ended = Ended { target: target.clone(), request: exposed.request, parts, begun, sent, at };
     core.members.queue_end(ended);
 }
 
+/// An answer that goes on, until it is dropped. It counts as long as it does: its engine may still end under
+/// it.
+pub(crate) struct Going {
+    core: Arc<Core>,
+    number: u64,
+}
+
+impl Going {
+    /// Records an answer that began at `begun`.
+    pub(crate) fn begin(core: &Arc<Core>, call: &Call, begun: Ms) -> Self {
+        let number = core.sound_parts().begin(begun, call.suspects.parts().clone());
+        Self { core: core.clone(), number }
+    }
+}
+
+impl Drop for Going {
+    fn drop(&mut self) {
+        self.core.sound_parts().end(self.number);
+    }
+}
+
 /// Records an answer that goes on well, or is complete, and began at `begun`.
 pub(crate) fn answer_is_sound(core: &Core, call: &Call, begun: Ms) {
     core.sound_parts().record(begun, call.suspects.parts().iter().copied());
@@ -64,9 +87,9 @@
     while let Some(seen) = collect(&mut queue, END_WINDOW).await {
         let mut by_target: BTreeMap<TargetId, Vec<wire::BrokenRequest>> = BTreeMap::new();
         let now = core.clock.now();
-        for Ended { target, request, parts, sent, at } in seen {
-            let (sent_ms, broken_ms) = ((now - sent).0, (now - at).0);
-            let broken = wire::BrokenRequest { parts: parts.to_vec(), sent_ms, broken_ms, request };
+        for Ended { target, request, parts, begun, sent, at } in seen {
+            let (parts, sent_ms, broken_ms) = (parts.to_vec(), (now - sent).0, (now - at).0);
+            let broken = wire::BrokenRequest { parts, sent_ms, broken_ms, request, begun };
             by_target.entry(target).or_default().push(broken);
         }
         let to_wire = |(target, requests): (TargetId, Vec<wire::BrokenRequest>)| TargetEnd {
@@ -96,8 +119,8 @@
         let target = TargetId::from(end.target.as_str());
         for broken in &end.requests {
             let (sent, at) = (now - Ms(broken.sent_ms), now - Ms(broken.broken_ms));
-            let (request, parts) = (broken.request, broken.parts.as_slice());
-            known.record(&BrokenRequest { target: &target, request, parts, sent, at });
+            let wire::BrokenRequest { request, begun, ref parts, .. } = *broken;
+            known.record(&BrokenRequest { target: &target, request, parts, begun, sent, at });
         }
     }
     drop(known);
@@ -120,6 +143,7 @@
         }
         // The ends that one cause leaves unexplained may lead to another.
         while diagnose(&core).await {}
+        core.ends_looked.notify_one();
     }
 }
 
@@ -137,7 +161,7 @@
 }
 
 /// This host's place among those that look for the cause.
-fn turn(core: &Core) -> Option<u64> {
+pub(crate) fn turn(core: &Core) -> Option<u64> {
     let hosts = core.members.hosts();
     let chosen = collectors(hosts.iter(), host_name);
     let place = chosen.into_iter().take(DIAGNOSERS).position(|host| is_me(core, host))?;
@@ -151,7 +175,9 @@
         return false;
     }
     let told = ask_all(core, &candidates).await;
-    let found = find(&core.ends(), &told, core.clock.now());
+    let links = core.links();
+    let engines = engines(core, &links);
+    let found = find(&core.ends(), &told, &engines, core.clock.now());
     if found.is_empty() {
         dismiss(core, &told);
         return false;
@@ -170,16 +196,36 @@
 }
 
 /// Requests come first: a request that ends targets has parts too, which end none elsewhere.
-fn find(ends: &Ends, told: &HashMap<Suspect, Observed>, now: Ms) -> Vec<Diagnosis> {
+fn find(
+    ends: &Ends,
+    told: &HashMap<Suspect, Observed>,
+    engines: &[Running<'_>],
+    now: Ms,
+) -> Vec<Diagnosis> {
     let requests = ends.diagnose_requests(told);
     match requests.is_empty() {
         true => {
-            ends.diagnose(told).or_else(|| ends.diagnose_moment(told, now)).into_iter().collect()
+            let found = ends.diagnose(told, engines);
+            found.or_else(|| ends.diagnose_moment(told, now)).into_iter().collect()
         }
         false => requests,
     }
 }
 
+/// The engines that are registered.
+fn engines<'a>(core: &Core, links: &'a Links) -> Vec<Running<'a>> {
+    let Some(catalog) = core.catalog() else { return Vec::new() };
+    let is_engine = |link: &&Arc<Link>| {
+        catalog.service(&link.entry.service).is_some_and(|service| service.engine.is_some())
+    };
+    let running = |link: &'a Arc<Link>| Running {
+        name: link.name(),
+        service: link.entry.service.as_str(),
+        born: Ms(link.entry.born),
+    };
+    links.all().filter(is_engine).map(running).collect()
+}
+
 /// Drops the evidence that sound answers refute.
 fn dismiss(core: &Core, told: &HashMap<Suspect, Observed>) {
     let mut ends = core.ends();
@@ -192,6 +238,17 @@
     core.members.notify_all(HostNews { found, ..HostNews::default() }).await;
 }
 
+/// Tells all hosts of what the store no longer lists though nobody is known to have removed it. The host
+/// that reads the store may have started since, and writes it again.
+pub(crate) fn tell_again(core: &Arc<Core>, missing: Vec<Suspect>) {
+    if missing.is_empty() {
+        return;
+    }
+    let found = |suspect| SuspectFound { suspect: Some(to_wire(suspect)), targets: Vec::new() };
+    let (core, found) = (core.clone(), missing.into_iter().map(found).collect());
+    tokio::spawn(async move { tell_all(&core, found).await });
+}
+
 /// Applies what another host has found. A host whose turn it may be passes it on: it may reach hosts
 /// that the other one does not.
 pub(crate) fn receive_found(core: &Arc<Core>, found: SuspectFound) {
@@ -204,7 +261,10 @@
 }
 
 /// Asks all hosts about suspects.
-async fn ask_all(core: &Arc<Core>, candidates: &[Candidate]) -> HashMap<Suspect, Observed> {
+pub(crate) async fn ask_all(
+    core: &Arc<Core>,
+    candidates: &[Candidate],
+) -> HashMap<Suspect, Observed> {
     let now = core.clock.now();
     let asked = |c: &Candidate| AskedSuspect {
         suspect: Some(to_wire(c.suspect)),
@@ -242,6 +302,7 @@
         let sum = told.entry(candidate.suspect).or_default();
         sum.sound = sum.sound.max(seen.sound_ms.map(|age| now - Ms(age)));
         sum.others += seen.others;
+        sum.going |= seen.going;
     }
 }
 
@@ -249,14 +310,18 @@
 pub(crate) fn answer(core: &Core, query: &PartQuery) -> PartAnswer {
     let now = core.clock.now();
     let seen = |asked: &AskedSuspect| {
-        let last = match asked.suspect.as_ref().and_then(from_wire) {
+        let suspect = asked.suspect.as_ref().and_then(from_wire);
+        let last = match suspect {
             Some(Suspect::Part(id)) => core.sound_parts().last(id),
             Some(Suspect::Request(key)) => core.sound_requests().last(key),
             None => None,
         };
+        let part = suspect.and_then(Suspect::part);
+        let parts = core.sound_parts();
         SeenSuspect {
             sound_ms: last.map(|begun| (now - begun).0),
-            others: core.sound_parts().since(now - Ms(asked.since_ms)) as u64,
+            others: parts.since(now - Ms(asked.since_ms)) as u64,
+            going: part.is_some_and(|part| parts.is_going(part)),
         }
     };
     PartAnswer { suspects: query.suspects.iter().map(seen).collect() }
--- a/crates/edge/src/dial.rs
+++ b/crates/edge/src/dial.rs
@@ -46,7 +46,7 @@
 
 /// Opens a connection directly, or through another host if links seem lost.
 async fn either_way(core: &Arc<Core>, link: &Arc<Link>, residency: &Residency) -> Option<Dialed> {
-    if !reach(core, link, |reach, now, id| reach.needs_detour(now, id)) {
+    if !needs_detour(core, link) {
         return direct(core, link).await;
     }
     // Its own way is tried each time, so that the detour ends with the cut.
@@ -64,6 +64,11 @@
     core.reach(&link.entry.service, |reach| f(reach, now, &link.entry.id))
 }
 
+/// Whether this host's own links to a target may be lost, so that others are asked too.
+pub(crate) fn needs_detour(core: &Core, link: &Link) -> bool {
+    reach(core, link, |reach, now, id| reach.needs_detour(now, id))
+}
+
 fn is_lost(core: &Core, link: &Link) -> bool {
     reach(core, link, |reach, now, id| reach.is_lost(now, id))
 }
--- a/crates/edge/src/directory.rs
+++ b/crates/edge/src/directory.rs
@@ -5,6 +5,7 @@
 use base::{Ms, Suspect, TargetId};
 use bytes::Bytes;
 use catalog::{Build, Catalog, Entry, OriginBatch, Position};
+use sched::suspects::record::EndBatch;
 use std::sync::Arc;
 use thiserror::Error;
 
@@ -23,6 +24,8 @@
     Quarantine,
     /// Streams and the software versions at which they began: one record for each batch of a host.
     Origins,
+    /// Ends of targets whose cause isn't known: one record for each batch of a host.
+    Ends,
 }
 
 /// The declarations, parsed and as text.
@@ -54,6 +57,8 @@
     Quarantined(Suspect),
     /// Streams of one host.
     Origins(OriginBatch),
+    /// Ends of targets.
+    Ends(EndBatch),
     /// It can't be parsed; holds the reason, for the log.
     Malformed(String),
 }
@@ -86,7 +91,7 @@
 pub struct Page {
     /// Its objects.
     pub records: Vec<Record>,
-    /// The name after which the next page starts; none on the last page.
+    /// The name after which the next page starts; none on the last page that can be read.
     pub next: Option<String>,
     /// The position at which it was read.
     pub position: Position,
@@ -171,12 +176,21 @@
     /// Adds what ends targets. Succeeds also if it is listed already.
     async fn quarantine(&self, suspect: Suspect) -> Result<(), DirectoryError>;
 
+    /// What ends targets according to the name of its record; none if the name is none of such a record.
+    fn suspect(&self, name: &str) -> Option<Suspect>;
+
     /// Adds streams under a name of their own.
     async fn add_origins(&self, name: &str, batch: &OriginBatch) -> Result<(), DirectoryError>;
 
     /// Removes them. Succeeds also if they are gone.
     async fn remove_origins(&self, name: &str) -> Result<(), DirectoryError>;
 
+    /// Adds ends of targets under a name of their own.
+    async fn add_ends(&self, name: &str, batch: &EndBatch) -> Result<(), DirectoryError>;
+
+    /// Removes them. Succeeds also if they are gone.
+    async fn remove_ends(&self, name: &str) -> Result<(), DirectoryError>;
+
     /// Parses declarations whose text another host has read from the store.
     fn declared(&self, text: Bytes) -> Result<Declared, DirectoryError>;
 }
--- a/crates/edge/src/ended.rs
+++ b/crates/edge/src/ended.rs
@@ -1,10 +1,14 @@
 //! Finds out whether targets have ended under the requests that they have not answered.
 //!
 //! Proof of an end is another start of the target: in its own report, or in a registration of its name
-//! or at its address. So is an address that refuses connections, while none from before lives on. A
-//! target that names the start which is known has not ended. Silence proves nothing.
+//! or at its address. So is an address that refuses connections, while none from before lives on. Where none
+//! of these comes, as from a machine that is gone, it is the registration that went while nothing answers.
+//!
+//! A target that names the start which is known a second later has not ended. One that does so sooner may
+//! be about to end: a process closes its connections first. Silence alone proves nothing.
 
 use base::{Ms, TargetId};
+use catalog::Residency;
 use link::{Conn, ConnPolicy, LinkError};
 use logs::note;
 use std::collections::HashSet;
@@ -13,9 +17,11 @@
 
 use crate::core::Core;
 use crate::diagnose;
-use crate::exposures::{Exposure, Left};
-use crate::links::Link;
+use crate::dial::{self, dial};
+use crate::exposures::{Asked, Exposure, Left};
+use crate::links::{Link, Links};
 use crate::restart;
+use crate::send::SendFault;
 
 /// Time from the first break at a target until it is checked: other connections that it had end
 /// meanwhile, and one check serves all.
@@ -75,6 +81,8 @@
     Report,
     /// Its address refuses connections.
     Refused,
+    /// Its registration is gone, and nothing answers.
+    Gone,
 }
 
 impl Proof {
@@ -84,6 +92,7 @@
             Self::Registered => "registered",
             Self::Report => "report",
             Self::Refused => "refused",
+            Self::Gone => "gone",
         }
     }
 }
@@ -121,16 +130,25 @@
         if unproved > 0 {
             note!(logs::Event::EndUnproved, target = link.name(), requests = unproved);
         }
-        if known.supersedes(link) {
-            end(core, link, Proof::Registered);
+        match () {
+            () if known.supersedes(link) => {
+                let taken = link.exposures().take();
+                end(core, link, Proof::Registered, taken);
+            }
+            () if is_gone(&known, link) => {
+                let taken = link.exposures().take_unanswered();
+                end(core, link, Proof::Gone, taken);
+            }
+            () => {}
         }
     }
     core.suspicions.links().retain(|link| link.exposures().left().next().is_some());
     let repeated = core.suspicions.repeated();
     for link in core.suspicions.links().iter() {
-        let interval = link.exposures().first_left().map_or(Ms::ZERO, |at| (now - at).scale(1, 2));
-        let interval = interval.max(CHECK_INTERVAL);
-        if is_due(core, link, &repeated, now) && link.begin_check(now, interval) {
+        let age = link.exposures().first_left().map_or(Ms::ZERO, |at| now - at);
+        let interval = age.max(CHECK_INTERVAL);
+        let due = is_due(core, link, &repeated, now) || is_gone(&known, link);
+        if due && link.begin_check(now, interval) {
             tokio::spawn(check(core.clone(), link.clone()));
         }
     }
@@ -144,53 +162,76 @@
         e.exposed.request.is_some_and(|key| repeated.contains(&key) || core.ends().has(key))
     };
     list.left().any(|e| match e.left {
-        _ if e.asked => false,
-        Some((_, Left::Broken)) => true,
-        Some(_) => now >= e.sent + DROPPED_DELAY && suspected(e),
+        Some((_, Left::Broken)) => e.is_due(now),
+        Some(_) => e.asked != Asked::Runs && now >= e.sent + DROPPED_DELAY && suspected(e),
         None => false,
     })
 }
 
+/// Whether the registration of a target is gone that was not to leave. It may serve on for some time.
+fn is_gone(known: &Links, link: &Link) -> bool {
+    known.named(&link.entry.id).is_none() && !link.is_retiring() && !link.is_leaving()
+}
+
 /// Finds out whether a target still runs.
 async fn check(core: Arc<Core>, link: Arc<Link>) {
     tokio::time::sleep(CHECK_DELAY.duration()).await;
     let begun = core.clock.now();
     let Some(first) = link.exposures().first_left() else { return };
-    // One that has ended closes all its connections.
-    if link.pool.holds_older_than(begun - first) {
-        refute(&link, begun, "connection");
-        return;
-    }
-    match ask(&core, &link).await {
+    match ask(&core, &link, begun - first).await {
         Answer::Refused => {
             link.set_started(None);
-            end(&core, &link, Proof::Refused);
+            let taken = link.exposures().take();
+            end(&core, &link, Proof::Refused, taken);
         }
         Answer::Started(at) => match link.set_started(Some(at)) {
-            Some(before) if before != at => end(&core, &link, Proof::Report),
-            Some(_) => refute(&link, begun, "report"),
+            Some(before) if before != at => {
+                let taken = link.exposures().take();
+                end(&core, &link, Proof::Report, taken);
+            }
+            Some(_) => {
+                link.exposures().asked(begun, Asked::Runs);
+                refute(&link, begun);
+            }
             None => {}
         },
-        Answer::Untold => link.exposures().asked(begun),
-        Answer::Unknown => {}
+        Answer::Untold => link.exposures().asked(begun, Asked::Runs),
+        Answer::Unknown => link.exposures().asked(begun, Asked::Silent),
     }
 }
 
-/// Drops the suspicions that a target refutes which still runs at `now`, as `evidence` shows.
-fn refute(link: &Link, now: Ms, evidence: &'static str) {
+/// Drops the suspicions that a target refutes which still runs at `now`.
+fn refute(link: &Link, now: Ms) {
     let requests = link.exposures().refute(now);
     if requests > 0 {
-        note!(logs::Event::EndRefuted, target = link.name(), evidence, requests);
+        note!(logs::Event::EndRefuted, target = link.name(), evidence = "report", requests);
     }
 }
 
-/// Asks a target on a new connection when it started. It is never asked through another host: that host
-/// would answer for itself whether it can be reached.
-async fn ask(core: &Core, link: &Link) -> Answer {
-    match link.pool.get(ConnPolicy::New).await {
+/// Asks a target when it started, whose first suspected request was left `age` ago: on a connection from
+/// before, since a target that is full resets new ones, or else on a new one. That an idle connection is
+/// open shows nothing by itself: nobody has read it.
+async fn ask(core: &Arc<Core>, link: &Arc<Link>, age: Ms) -> Answer {
+    let before = link.pool.holds_older_than(age).then(|| link.pool.idle()).flatten();
+    let conn = match before {
+        Some(conn) => Ok(conn),
+        None => link.pool.get(ConnPolicy::New).await,
+    };
+    match conn {
+        Ok(conn) => read_start(core, link, conn).await,
+        Err(err) if dial::needs_detour(core, link) => ask_through_host(core, link, &err).await,
         Err(LinkError::Refused) => Answer::Refused,
         Err(_) => Answer::Unknown,
-        Ok(conn) => read_start(core, link, conn).await,
+    }
+}
+
+/// Asks a target through another host, while this host's own links seem lost. A refusal is that of the
+/// link then, and says nothing of the target.
+async fn ask_through_host(core: &Arc<Core>, link: &Arc<Link>, err: &LinkError) -> Answer {
+    match dial(core, link, &Residency::Anywhere).await {
+        Ok(dialed) => read_start(core, link, dialed.conn).await,
+        Err(SendFault::NoConnection) if matches!(err, LinkError::Refused) => Answer::Refused,
+        Err(_) => Answer::Unknown,
     }
 }
 
@@ -204,8 +245,7 @@
 
 /// Reports that a target has ended under the requests that it had. They were all at one end, the time
 /// of which is that of the first break; without a break it is not known better than by the proof.
-fn end(core: &Core, link: &Link, proof: Proof) {
-    let taken = link.exposures().take();
+fn end(core: &Core, link: &Link, proof: Proof, taken: Vec<Exposure>) {
     if taken.is_empty() {
         return;
     }
@@ -218,7 +258,7 @@
         target = %target,
         evidence = proof.name(),
         requests = taken.len(),
-        suspected = taken.iter().filter(|e| e.suspects_parts(at)).count(),
+        suspected = taken.iter().filter(|e| e.suspects_parts()).count(),
         keys = keys.map(|key| format!("{key:x}")).collect::<Vec<_>>().join(",")
     );
     core.metrics.target_ended(proof.name());
--- a/crates/edge/src/evacuate.rs
+++ b/crates/edge/src/evacuate.rs
@@ -76,6 +76,7 @@
         | RecordBody::Build { .. }
         | RecordBody::Quarantined(_)
         | RecordBody::Origins(_)
+        | RecordBody::Ends(_)
         | RecordBody::Malformed(_) => {
             note!(logs::Event::EntryMalformed, target = %record.name, why = "not an evacuation");
             None
--- a/crates/edge/src/exposures.rs
+++ b/crates/edge/src/exposures.rs
@@ -20,8 +20,9 @@
 const MAX_LEFT: usize = 256;
 /// Time within which an answer on another connection may overtake the end of one.
 const OVERTAKE_TIME: Ms = Ms(200);
-/// Time from the sending of a request within which it ends its target. Before, a target that still runs
-/// proves nothing.
+/// Time from the sending of a request, and from the end of its connection, within which it ends its
+/// target. Before, a target that still runs proves nothing: a process closes its connections before it
+/// ends, and may answer others in between.
 const SETTLE_TIME: Ms = Ms::secs(1);
 
 /// What of a request may end targets.
@@ -50,27 +51,54 @@
     id: u64,
     pub(crate) exposed: Exposed,
     pub(crate) sent: Ms,
-    /// When the target began to answer.
-    pub(crate) begun: Option<Ms>,
+    /// Whether any of an answer has arrived.
+    pub(crate) begun: bool,
+    /// For how long the target is known to have lived while it answered. Zero says nothing: what a
+    /// process has written before it ends may never arrive.
+    pub(crate) lived: Ms,
     /// When its connection ended, and how; none while it is open.
     pub(crate) left: Option<(Ms, Left)>,
-    /// Whether its target was asked since, and could not tell.
-    pub(crate) asked: bool,
+    /// What its target has answered since.
+    pub(crate) asked: Asked,
+}
+
+/// What a target has answered since the connection of a request ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Asked {
+    /// It was not asked.
+    No,
+    /// Nothing, each time.
+    Silent,
+    /// Something, as a process that runs.
+    Runs,
 }
 
 impl Exposure {
-    /// Whether the parts of its prompt may have ended the target, which was gone at `at`: an engine that a
-    /// part ends is gone soon after it has begun to answer.
-    pub(crate) fn suspects_parts(&self, at: Ms) -> bool {
-        let gone = self.left.map_or(at, |(gone, _)| gone);
-        self.begun.is_some_and(|begun| gone - begun < PROBATION)
+    /// Whether the parts of its prompt may have ended the target: it is not known to have lived on after it
+    /// had begun to answer.
+    pub(crate) fn suspects_parts(&self) -> bool {
+        self.lived < PROBATION
+    }
+
+    /// Whether its target has to be asked at `now` whether it still runs, since its connection broke. One
+    /// that has answered since may have been about to end, and is asked once more.
+    pub(crate) fn is_due(&self, now: Ms) -> bool {
+        match self.left {
+            Some((at, Left::Broken)) => self.asked != Asked::Runs || now - at >= SETTLE_TIME,
+            _ => false,
+        }
+    }
+
+    /// Whether its connection ended and its target has not answered since.
+    fn is_unanswered(&self) -> bool {
+        self.left.is_some() && self.asked == Asked::Silent
     }
 
     /// Whether a target that still runs at `now` has not ended under it.
     fn is_refuted(&self, now: Ms) -> bool {
         match self.left {
             None => false,
-            Some((at, Left::Broken)) => at <= now,
+            Some((at, Left::Broken)) => at + SETTLE_TIME <= now,
             Some((at, _)) => at <= now && self.sent + SETTLE_TIME <= now,
         }
     }
@@ -87,7 +115,15 @@
     fn add(&mut self, exposed: Exposed, sent: Ms) -> u64 {
         self.next += 1;
         let id = self.next;
-        self.list.push(Exposure { id, exposed, sent, begun: None, left: None, asked: false });
+        self.list.push(Exposure {
+            id,
+            exposed,
+            sent,
+            begun: false,
+            lived: Ms::ZERO,
+            left: None,
+            asked: Asked::No,
+        });
         id
     }
 
@@ -101,9 +137,14 @@
         self.left().filter_map(|e| Some(e.left?.0)).min()
     }
 
-    /// Records that the target was asked at `now` whether it has ended, and could not tell.
-    pub(crate) fn asked(&mut self, now: Ms) {
-        self.list.iter_mut().filter(|e| e.is_refuted(now)).for_each(|e| e.asked = true);
+    /// Records what the target answered when it was asked at `now` whether it still runs.
+    pub(crate) fn asked(&mut self, now: Ms, answered: Asked) {
+        let left = |e: &&mut Exposure| e.left.is_some_and(|(at, _)| at <= now);
+        for exposure in self.list.iter_mut().filter(left) {
+            if exposure.asked != Asked::Runs {
+                exposure.asked = answered;
+            }
+        }
     }
 
     /// Drops those that were left too long ago. Returns how many.
@@ -132,6 +173,11 @@
         self.list.extract_if(.., |e| e.left.is_some()).collect()
     }
 
+    /// The same, of those whose target has not answered since.
+    pub(crate) fn take_unanswered(&mut self) -> Vec<Exposure> {
+        self.list.extract_if(.., |e| e.is_unanswered()).collect()
+    }
+
     fn leave(&mut self, ids: &[u64], now: Ms, how: Left) -> bool {
         let mut any = false;
         for exposure in self.list.iter_mut().filter(|e| ids.contains(&e.id)) {
@@ -169,10 +215,15 @@
 
     /// Records that the target begins to answer.
     pub(crate) fn answering(&self) {
-        let now = self.core.clock.now();
+        let mut list = self.link.exposures();
+        list.list.iter_mut().filter(|e| self.ids.contains(&e.id)).for_each(|e| e.begun = true);
+    }
+
+    /// Records for how long the target has lived while it answered.
+    pub(crate) fn lived(&self, time: Ms) {
         let mut list = self.link.exposures();
         for exposure in list.list.iter_mut().filter(|e| self.ids.contains(&e.id)) {
-            exposure.begun = Some(now);
+            exposure.lived = time;
         }
     }
 
--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -95,7 +95,8 @@
             | RecordBody::Evacuation
             | RecordBody::Build { .. }
             | RecordBody::Quarantined(_)
-            | RecordBody::Origins(_) => {}
+            | RecordBody::Origins(_)
+            | RecordBody::Ends(_) => {}
             RecordBody::Malformed(why) => {
                 note!(logs::Event::ConfigRefused, name = %record.name, why);
                 return Err(DirectoryError::Malformed(why));
@@ -259,7 +260,8 @@
         | RecordBody::Evacuation
         | RecordBody::Build { .. }
         | RecordBody::Quarantined(_)
-        | RecordBody::Origins(_) => Update::Malformed(record.name),
+        | RecordBody::Origins(_)
+        | RecordBody::Ends(_) => Update::Malformed(record.name),
         RecordBody::Malformed(why) => {
             note!(logs::Event::EntryMalformed, target = %record.name, why);
             Update::Malformed(record.name)
--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -24,8 +24,8 @@
 use crate::metrics::Metrics;
 use crate::settings::Settings;
 use crate::{
-    accept, builds, connections, diagnose, ended, evacuate, expiry, follow, newest, notify, origin,
-    origin_store, pause, quarantine, reload, source,
+    accept, builds, connections, diagnose, end_store, ended, evacuate, expiry, follow, newest,
+    notify, origin, origin_store, pause, quarantine, reload, source,
 };
 
 /// Time for which a stopping host still accepts requests. The platform checks readiness every
@@ -143,6 +143,7 @@
             tokio::spawn(ended::follow(core.clone())),
             tokio::spawn(diagnose::ends(core.clone(), outbox.ends)),
             tokio::spawn(diagnose::follow(core.clone())),
+            tokio::spawn(end_store::follow(core.clone())),
             tokio::spawn(origin::tell(core.clone())),
             tokio::spawn(origin_store::follow(core.clone())),
             tokio::spawn(expiry::follow(core.clone())),
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -29,6 +29,7 @@
 mod dialect;
 mod directory;
 mod discard;
+mod end_store;
 mod ended;
 mod evacuate;
 mod events;
--- a/crates/edge/src/links.rs
+++ b/crates/edge/src/links.rs
@@ -39,6 +39,8 @@
     pub(crate) reports: Reports,
     limit: Mutex<Limit>,
     leaving: AtomicBool,
+    /// Whether it was known to take no more work, so that its end is planned.
+    retiring: AtomicBool,
     /// Until when it has asked this host to send nothing, ms.
     paused: AtomicU64,
     backlog: Mutex<Backlog>,
@@ -82,6 +84,7 @@
             reports: Reports::default(),
             limit: Mutex::default(),
             leaving: AtomicBool::new(false),
+            retiring: AtomicBool::new(false),
             paused: AtomicU64::new(0),
             backlog: Mutex::default(),
             subjects: Mutex::default(),
@@ -214,6 +217,11 @@
         self.leaving.load(Ordering::Relaxed)
     }
 
+    /// Whether it was known to take no more work, so that its end is planned.
+    pub(crate) fn is_retiring(&self) -> bool {
+        self.retiring.load(Ordering::Relaxed)
+    }
+
     /// Sends it nothing until `until`, as it asked.
     pub(crate) fn pause(&self, until: Ms) {
         self.paused.fetch_max(until.0, Ordering::Relaxed);
@@ -280,7 +288,7 @@
                     next.evacuated_services.insert(entry.service.clone());
                 }
                 true => next.by_service.entry(entry.service.clone()).or_default().push(link),
-                false => {}
+                false => link.retiring.store(true, Ordering::Relaxed),
             }
         }
         for links in next.by_service.values_mut() {
--- a/crates/edge/src/newest.rs
+++ b/crates/edge/src/newest.rs
@@ -42,7 +42,7 @@
 }
 
 /// Asks some hosts. Returns whether any has answered.
-async fn ask_some(core: &Core, directory: &dyn Directory) -> bool {
+async fn ask_some(core: &Arc<Core>, directory: &dyn Directory) -> bool {
     let hosts = core.members.hosts();
     let mut others: Vec<&ViewHost> =
         hosts.iter().filter(|h| h.host != *core.members.me()).collect();
--- a/crates/edge/src/quarantine.rs
+++ b/crates/edge/src/quarantine.rs
@@ -5,14 +5,18 @@
 //! from those that know, and all may be restarted.
 
 use base::{Ms, Suspect};
-use catalog::Position;
+use catalog::{Position, QuarantineList};
 use std::sync::Arc;
 
 use crate::backoff::Backoff;
 use crate::core::Core;
-use crate::directory::{DirectoryError, Kind};
+use crate::directory::{Change, DirectoryError, Kind, Updates};
 use crate::read::{STORE_TIMEOUT, list, read};
 
+/// Longest time until the list is read again while it holds anything. A store that comes back from an older
+/// copy need not say so, and a watch reports nothing of it: what it has lost must be written again before all
+/// hosts are started anew.
+const VERIFY_INTERVAL: Ms = Ms::secs(3);
 /// Longest wait of a watch. The hosts tell each other of what they find, so a watch matters only to
 /// one that the others don't reach, and to lift something.
 const WATCH_WAIT: Ms = Ms::secs(10);
@@ -52,7 +56,7 @@
     let known = since.filter(|since| core.in_newest_era(*since));
     let since = match known {
         Some(since) => since,
-        None => read_list(core).await?,
+        None => read_list(core, &[]).await?,
     };
     let unlisted = core.quarantine().unlisted();
     if !unlisted.is_empty() {
@@ -60,7 +64,7 @@
             core.metrics.store_call("write");
             core.directory.quarantine(suspect).await?;
         }
-        return read_list(core).await;
+        return read_list(core, &[]).await;
     }
     let begun = core.clock.now();
     let mut ended = core.store_reader();
@@ -78,17 +82,26 @@
 /// Waits for changes of the list, and reads it if there are any.
 async fn watch(core: &Core, since: Position) -> Result<Position, DirectoryError> {
     core.metrics.store_call("watch");
-    let watch = || core.directory.watch(Kind::Quarantine, since, WATCH_WAIT);
-    let updates = read(core, WATCH_WAIT + STORE_TIMEOUT, watch).await?;
-    match updates.changes.is_empty() && updates.position.era == since.era {
-        true => Ok(updates.position),
-        false => read_list(core).await,
+    let verified = !core.quarantine().listed().is_empty();
+    let wait = if verified { VERIFY_INTERVAL } else { WATCH_WAIT };
+    let watch = || core.directory.watch(Kind::Quarantine, since, wait);
+    let Updates { changes, position } = read(core, wait + STORE_TIMEOUT, watch).await?;
+    let same = position.era == since.era;
+    if changes.is_empty() && same && !verified {
+        return Ok(position);
     }
+    // Changes of another era say nothing of what happened since then.
+    let removed = changes.iter().filter_map(|change| match change {
+        Change::Removed(name) if same => core.directory.suspect(name.as_str()),
+        _ => None,
+    });
+    read_list(core, &removed.collect::<Vec<Suspect>>()).await
 }
 
-async fn read_list(core: &Core) -> Result<Position, DirectoryError> {
+async fn read_list(core: &Core, removed: &[Suspect]) -> Result<Position, DirectoryError> {
     let (records, position) = list(core, core.directory.as_ref(), Kind::Quarantine).await?;
     let listed = records.into_iter().filter_map(|record| record.body.quarantined());
-    core.apply_quarantine(position, &listed.collect::<Vec<Suspect>>());
+    let listed: Vec<Suspect> = listed.collect();
+    core.apply_quarantine(QuarantineList { position, listed: &listed, removed, own: true });
     Ok(position)
 }
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -24,6 +24,7 @@
 use self::wait::Event;
 use crate::body::ResponseBody;
 use crate::core::Core;
+use crate::diagnose::Going;
 use crate::events::EventStream;
 use crate::gate::BlockReason;
 use crate::host::App;
@@ -56,6 +57,10 @@
     awaits_first: bool,
     /// Whether its end shows that it is whole: it has a length or chunks.
     framed: bool,
+    /// For how long the engine is known to have lived since, by what it has written.
+    lived: Ms,
+    /// Tells others that it goes on, once it has done so for some time.
+    going: Option<Going>,
     /// Whether it is known that the request does not end the engine.
     sound: bool,
     /// Whether the engine had no other prompt to read, as far as this host knows.
--- a/crates/edge/src/relay/forward.rs
+++ b/crates/edge/src/relay/forward.rs
@@ -10,10 +10,33 @@
 use super::silence::Silence;
 use super::{OpenStream, Relay, Step};
 use crate::body::Truncated;
+use crate::core::Core;
+use crate::diagnose::Going;
 use crate::events::{Parsed, are_comments};
 use crate::send::SendFault;
 use crate::{diagnose, origin, subjects};
 
+/// Time for which an engine has lived under an answer after which others are told that it goes on.
+const GOING_TIME: Ms = Ms::secs(1);
+
+/// A wait for what an engine writes.
+struct Waited {
+    begun: Ms,
+    /// Time for which this host has not run before.
+    lost: Ms,
+}
+
+impl Waited {
+    fn begin(core: &Core) -> Self {
+        Self { begun: core.clock.now(), lost: core.pauses.lost() }
+    }
+
+    /// How long it took, but for the time for which this host did not run.
+    fn time(self, core: &Core) -> Ms {
+        core.clock.now() - self.begun - (core.pauses.lost() - self.lost)
+    }
+}
+
 impl Relay {
     /// The next events; none at the end of the stream.
     pub(crate) async fn next(&mut self) -> Option<Result<Bytes, Truncated>> {
@@ -22,8 +45,10 @@
             self.silence = Silence::begin(&self.core);
         }
         loop {
+            let waited = Waited::begin(&self.core);
             let fault = match self.step().await {
                 Step::Frame(Some(Ok(frame))) => {
+                    self.record_life(waited);
                     let Ok(data) = frame.into_data() else { continue };
                     match self.events.push(data) {
                         // Comments, or the beginning of an event, without end would keep the caller
@@ -149,11 +174,21 @@
         self.core.metrics.answered(&route.name, now - self.call.arrived, route.latency_goal);
     }
 
+    /// Records that the engine has written something that this host has waited for: it lived that long.
+    /// Time for which bytes lay unread, because the caller or this host paused, proves nothing.
+    fn record_life(&mut self, waited: Waited) {
+        let Some(open) = self.open.as_mut() else { return };
+        open.lived = open.lived + waited.time(&self.core);
+        open.lease.lived(open.lived);
+    }
+
     /// Records that the engine lives on under this request, once that is certain.
     fn record_progress(&mut self) {
-        let now = self.core.clock.now();
         let Some(open) = self.open.as_mut().filter(|o| !o.sound) else { return };
-        if now - open.begun >= PROBATION {
+        if open.lived >= GOING_TIME && open.going.is_none() {
+            open.going = Some(Going::begin(&self.core, &self.call, open.begun));
+        }
+        if open.lived >= PROBATION {
             open.sound = true;
             diagnose::answer_is_sound(&self.core, &self.call, open.begun);
         }
--- a/crates/edge/src/relay/outcome.rs
+++ b/crates/edge/src/relay/outcome.rs
@@ -201,6 +201,8 @@
             begun: self.core.clock.now(),
             awaits_first: true,
             framed: is_framed(&parts.headers),
+            lived: Ms::ZERO,
+            going: None,
             sound: false,
             was_idle,
         });
--- a/crates/edge/src/send.rs
+++ b/crates/edge/src/send.rs
@@ -91,6 +91,11 @@
         self.trace.answering();
     }
 
+    /// Records for how long the target has lived while it answered.
+    pub(crate) fn lived(&self, time: Ms) {
+        self.trace.lived(time);
+    }
+
     /// Records that the connection broke.
     pub(crate) fn broken(&mut self) {
         self.trace.broken();
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -5,7 +5,7 @@
 
 use base::{DomainId, Ms, Suspect};
 use bytes::Bytes;
-use catalog::{Build, Delta, Entry, LAPSE_GRACE, Position, TargetState, Update};
+use catalog::{Build, Delta, Entry, LAPSE_GRACE, Position, QuarantineList, TargetState, Update};
 use flate2::Compression;
 use flate2::read::{ZlibDecoder, ZlibEncoder};
 use std::io::{self, Read};
@@ -165,7 +165,8 @@
     let held = core.quarantine();
     let position = held.position().filter(|held| Some(*held) > Position::unpack(known))?;
     let suspects = held.listed().into_iter().map(diagnose::to_wire).collect();
-    Some(SuspectList { revision: position.pack(), suspects })
+    let lifted = held.lifted().map(diagnose::to_wire).collect();
+    Some(SuspectList { revision: position.pack(), suspects, lifted })
 }
 
 fn evacuation(core: &Core, arrived: Ms) -> Option<Evacuation> {
@@ -208,7 +209,7 @@
 /// sent. A delay on the way, or a pause of either host, can therefore only make the proof seem
 /// older than it is, never younger. The proof holds only for the configuration that came with it.
 pub(crate) fn apply(
-    core: &Core,
+    core: &Arc<Core>,
     directory: &dyn Directory,
     sent: Ms,
     news: StoreNews,
@@ -227,8 +228,13 @@
     let suspects = news.suspects.as_ref();
     let suspects = suspects.and_then(|list| Some((Position::unpack(list.revision)?, list)));
     if let Some((position, list)) = suspects {
-        let listed: Vec<Suspect> = list.suspects.iter().filter_map(diagnose::from_wire).collect();
-        core.apply_quarantine(position, &listed);
+        let read = |list: &[wire::Suspect]| -> Vec<Suspect> {
+            list.iter().filter_map(diagnose::from_wire).collect()
+        };
+        let (listed, removed) = (read(&list.suspects), read(&list.lifted));
+        let read = QuarantineList { position, listed: &listed, removed: &removed, own: false };
+        let missing = core.apply_quarantine(read);
+        diagnose::tell_again(core, missing);
     }
     // Evacuations come before the targets, so that no target of an evacuated domain gets a request.
     let evacuation = news.evacuation.as_ref();
--- a/crates/edge/src/suspects.rs
+++ b/crates/edge/src/suspects.rs
@@ -42,7 +42,7 @@
     }
 
     /// The shared parts of its prompt, in order.
-    pub(crate) fn parts(&self) -> &[u64] {
+    pub(crate) fn parts(&self) -> &Arc<[u64]> {
         &self.parts
     }
 
--- a/crates/logs/src/event.rs
+++ b/crates/logs/src/event.rs
@@ -128,6 +128,9 @@
     SendReadLate = 348, Info, "A target was shown to have read a request only long after it was sent: a later request was answered.";
     EndRefuted = 349, Info, "A target lives on whose connections had ended under requests: by what that is known, and how many requests are no longer suspected.";
     EndUnproved = 350, Warn, "Requests were left unanswered at a target, and nothing showed in time whether it has ended.";
+    PartMissing = 351, Warn, "The store no longer lists a part of prompts, or a request, though nobody is known to have removed it: it may have come back from an older copy. It stays refused and is written again.";
+    EndsRead = 352, Info, "Ends of targets that earlier hosts have seen were read from the platform's store.";
+    ListIncomplete = 353, Warn, "A list in the platform's store has a page on which no name can be read, and was read without what follows it there. What it lacks counts as unchanged.";
     JournalUnavailable = 400, Warn, "A key could not be recorded; its request was refused.";
     FinishRetried = 401, Warn, "The outcome of a keyed request could not be recorded yet; the write is retried.";
     FinishLost = 402, Error, "The outcome of a keyed request could not be recorded; re-sends are answered as unknown.";
--- a/crates/model/src/parts.rs
+++ b/crates/model/src/parts.rs
@@ -294,7 +294,14 @@
         for job in suspects {
             let parts = &job.parts;
             let (target, sent) = (&target, job.sent);
-            self.ends.record(&BrokenRequest { target, request: None, parts, sent, at: now });
+            self.ends.record(&BrokenRequest {
+                target,
+                request: None,
+                parts,
+                begun: true,
+                sent,
+                at: now,
+            });
             let host = if self.design == Design::Own { job.host } else { 0 };
             seen.extend(parts.iter().map(|part| (host, *part)));
         }
@@ -331,10 +338,10 @@
             .map(|c| {
                 let others = self.sound.since(c.since) as u64;
                 let sound = c.suspect.part().and_then(|part| self.sound.last(part));
-                (c.suspect, Observed { sound, others })
+                (c.suspect, Observed { sound, others, going: false })
             })
             .collect();
-        let found = self.ends.diagnose(&told);
+        let found = self.ends.diagnose(&told, &[]);
         let Some(diagnosis) = found.or_else(|| self.ends.diagnose_moment(&told, now)) else {
             for (suspect, told) in &told {
                 told.sound.into_iter().for_each(|sound| self.ends.cleared(*suspect, sound));
--- a/crates/sched/src/sound.rs
+++ b/crates/sched/src/sound.rs
@@ -6,7 +6,8 @@
 //! and is asked only about parts that are suspected.
 
 use base::Ms;
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::sync::Arc;
 
 /// Number of parts that are remembered; about 16 bytes each.
 const MAX_PARTS: usize = 16_384;
@@ -20,6 +21,9 @@
     begun: HashMap<u64, Ms>,
     /// When the newest sound answers began.
     answers: VecDeque<Ms>,
+    /// Answers that go on, by number: when each began, and its parts.
+    going: BTreeMap<u64, (Ms, Arc<[u64]>)>,
+    next: u64,
 }
 
 impl SoundParts {
@@ -38,14 +42,33 @@
         }
     }
 
+    /// Records an answer that began at `begun` and goes on; it may still end its engine. Returns its number.
+    pub fn begin(&mut self, begun: Ms, parts: Arc<[u64]>) -> u64 {
+        self.next += 1;
+        self.going.insert(self.next, (begun, parts));
+        self.next
+    }
+
+    /// Records that an answer no longer goes on, however it ended.
+    pub fn end(&mut self, number: u64) {
+        self.going.remove(&number);
+    }
+
+    /// Whether an answer with a part goes on.
+    pub fn is_going(&self, part: u64) -> bool {
+        self.going.values().any(|(_, parts)| parts.contains(&part))
+    }
+
     /// When the last sound answer with a part began; none if none is remembered.
     pub fn last(&self, part: u64) -> Option<Ms> {
         self.begun.get(&part).copied()
     }
 
-    /// Number of sound answers that began after `since`, as far as they are remembered.
+    /// Number of sound answers, and of those that go on, that began after `since`, as far as they are
+    /// remembered.
     pub fn since(&self, since: Ms) -> usize {
-        self.answers.iter().filter(|begun| **begun > since).count()
+        let going = self.going.values().map(|(begun, _)| begun);
+        self.answers.iter().chain(going).filter(|begun| **begun > since).count()
     }
 
     /// Forgets the older half of the parts.
--- a/crates/sched/src/suspects.rs
+++ b/crates/sched/src/suspects.rs
@@ -5,9 +5,10 @@
 //! tell. Counting by request finds nothing: each one takes an engine down, and the sound requests on
 //! it with it.
 //!
-//! So ends are counted by part. Each end of an engine names the shared parts of all requests that it
-//! had begun to answer within [`PROBATION`]; all hosts report what was theirs to the same few, which find
-//! the cause.
+//! So ends are counted by part. Each end of an engine names the shared parts of all requests that were on
+//! it, but for those that it is known to have lived under for [`PROBATION`]; all hosts report what was
+//! theirs to the same few, which find the cause. That no byte of an answer arrived says nothing: the
+//! reset of a process that ends throws away what it had written.
 //! Sound requests share their first parts, callers and engines with the bad ones, therefore a part is
 //! quarantined only if
 //!
@@ -21,15 +22,18 @@
 //! Ends that a quarantined part explains are no evidence against others.
 
 pub mod moment;
+pub mod record;
 pub mod request;
 
 use base::{Ms, Suspect, TargetId, hash_parts};
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 
-/// Time after the beginning of an answer within which its request may have ended the engine. An
-/// engine that a part ends is gone within a tenth of a second; most sound streams last longer than
-/// this, or are complete.
-pub const PROBATION: Ms = Ms::secs(1);
+use self::record::KeptRequest;
+
+/// Time for which an engine must have been seen to live while it answered a request until its parts are
+/// sound. An engine that a part ends is gone within a tenth of a second of its own running time, but it
+/// may run for a tenth of the time only.
+pub const PROBATION: Ms = Ms::secs(3);
 /// Number of hosts that are told of ends, in a larger fleet: if half of a fleet is killed, one of
 /// them is left but once in sixty times.
 pub const COLLECTORS: usize = 6;
@@ -41,8 +45,8 @@
 const LEAST_ENDS: usize = 3;
 /// Ends of targets that are remembered: about 2 KB each.
 const MAX_ENDS: usize = 512;
-/// Distinct prompts of an end that are remembered.
-const MAX_PROMPTS: usize = 64;
+/// Requests of an end that are remembered.
+const MAX_REQUESTS: usize = 64;
 /// Time for which ends are remembered.
 const RETENTION: Ms = Ms::secs(3_600);
 /// Differences of times that hosts tell as ages: a message takes some tens of ms.
@@ -65,6 +69,13 @@
 /// ends explain them equally well: some ends have other causes, and first parts are on all engines.
 const EQUAL_PERCENT: usize = 80;
 
+/// Ends with a part, but without the one request that is known to end targets, by which the part may
+/// explain those of the request as well. One end may have any cause.
+const LEAST_OTHER_ENDS: usize = 2;
+
+/// Targets that end at one moment, under requests that were there before, as in an outage.
+const OUTAGE_ENDS: usize = 3;
+
 /// Ends beyond the least number that make up for one episode: where requests come fast, all engines
 /// end within a moment, and the next episode has to wait until they are back.
 const ENDS_FOR_EPISODE: usize = 2;
@@ -103,6 +114,9 @@
 pub struct Observed {
     /// When the last sound answer with it began; none if no host remembers one.
     pub sound: Option<Ms>,
+    /// Whether an answer with it goes on. That clears nothing, since it may still end its engine, but
+    /// speaks for the part as long as it lasts.
+    pub going: bool,
     /// Sound answers, with other parts, that began since [`Candidate::since`].
     pub others: u64,
 }
@@ -127,14 +141,29 @@
     pub target: &'a TargetId,
     /// Its key; none if it isn't known.
     pub request: Option<u64>,
-    /// The shared parts of the prompt, in order; empty unless the target had just begun to answer it.
+    /// The shared parts of the prompt, in order; empty if the target is known to have lived on after it
+    /// had begun to answer it.
     pub parts: &'a [u64],
+    /// Whether any of an answer to it has arrived. That none has says nothing of the request alone, but an
+    /// outage ends many that have only waited.
+    pub begun: bool,
     /// When it was sent.
     pub sent: Ms,
     /// When it broke.
     pub at: Ms,
 }
 
+/// A target that is registered and takes requests of the kind that ends targets.
+#[derive(Clone, Copy, Debug)]
+pub struct Running<'a> {
+    /// Its name, which all its incarnations have.
+    pub name: &'a str,
+    /// Its service.
+    pub service: &'a str,
+    /// When its present incarnation started.
+    pub born: Ms,
+}
+
 /// The end of one incarnation of a target.
 #[derive(Debug)]
 struct End {
@@ -142,8 +171,10 @@
     target: TargetId,
     /// The requests on it and the shared parts of their prompts.
     carried: HashMap<Suspect, Carried>,
-    /// The shared parts of each of these requests, without repeats.
-    prompts: HashSet<Box<[u64]>>,
+    /// These requests, [`MAX_REQUESTS`] at most.
+    requests: Vec<KeptRequest>,
+    /// Whether it is kept outside of the hosts, or need not be.
+    kept: bool,
     /// Whether a quarantined part was among them.
     explained: bool,
     /// Whether a quarantined part or request was among them.
@@ -161,8 +192,8 @@
     }
 
     fn new(at: Ms, target: TargetId) -> Self {
-        let (carried, prompts) = (HashMap::new(), HashSet::new());
-        Self { at, target, carried, prompts, explained: false, solved: false }
+        let (carried, requests) = (HashMap::new(), Vec::new());
+        Self { at, target, carried, requests, kept: false, explained: false, solved: false }
     }
 }
 
@@ -173,7 +204,9 @@
     place: usize,
     /// When the last of these requests was sent.
     sent: Ms,
-    /// Their keys, [`MAX_PROMPTS`] at most.
+    /// Whether any of an answer to one of them had arrived.
+    begun: bool,
+    /// Their keys, [`MAX_REQUESTS`] at most.
     requests: Vec<u64>,
 }
 
@@ -181,8 +214,9 @@
     fn add(&mut self, place: usize, broken: &BrokenRequest<'_>) {
         self.place = place.max(self.place);
         self.sent = broken.sent.max(self.sent);
+        self.begun |= broken.begun;
         match broken.request {
-            Some(key) if self.requests.len() < MAX_PROMPTS && !self.requests.contains(&key) => {
+            Some(key) if self.requests.len() < MAX_REQUESTS && !self.requests.contains(&key) => {
                 self.requests.push(key);
             }
             _ => {}
@@ -220,8 +254,8 @@
             end.solved |= known;
             end.explained |= known && suspect.part().is_some();
         }
-        if end.prompts.len() < MAX_PROMPTS && !broken.parts.is_empty() {
-            end.prompts.insert(broken.parts.into());
+        if end.requests.len() < MAX_REQUESTS {
+            end.requests.push(KeptRequest::of(broken));
         }
     }
 
@@ -241,9 +275,14 @@
         ends.into_iter().map(|(suspect, at)| Candidate { suspect, since: since(&at) }).collect()
     }
 
-    /// The part to quarantine, by what hosts have told of the candidates.
-    pub fn diagnose(&self, told: &HashMap<Suspect, Observed>) -> Option<Diagnosis> {
-        let cases: Vec<Case> = self.part_cases(told).collect();
+    /// The part to quarantine, by what hosts have told of the candidates, and the targets that run now.
+    pub fn diagnose(
+        &self,
+        told: &HashMap<Suspect, Observed>,
+        running: &[Running<'_>],
+    ) -> Option<Diagnosis> {
+        let cases = self.part_cases(told).filter(|case| case.is_grounded(running));
+        let cases: Vec<Case> = cases.collect();
         let (known, new): (Vec<&Case>, Vec<&Case>) = cases.iter().partition(|c| c.known);
         let narrower =
             |a: &Case, b: &Case| b.place > a.place && LEAST_RIVAL * b.ends.len() >= a.ends.len();
@@ -311,24 +350,55 @@
 
     fn case(&self, part: u64, told: Observed) -> Case<'_> {
         let mut ends = self.counted(Suspect::Part(part), told);
-        // A request that is known to end targets explains its ends. Two with the part are another
-        // matter: it may be what they have in common.
+        // A request that is known to end targets explains its ends. Where others with the part end targets
+        // too, it may be what they have in common.
         if let [cause] = self.causes(&ends, part)[..] {
-            ends.retain(|end| !end.carried.contains_key(&Suspect::Request(cause)));
+            let without = |end: &&End| !end.carried.contains_key(&Suspect::Request(cause));
+            if ends.iter().filter(|end| without(end)).count() < LEAST_OTHER_ENDS {
+                ends.retain(without);
+            }
         }
         let span = ends.first().zip(ends.last()).map(|(first, last)| (first.at, last.at));
         let within = |at: Ms| span.is_some_and(|(first, last)| (first..=last).contains(&at));
         Case {
             part,
             place: carried(&ends, part).map(|(_, c)| c.place).max().unwrap_or(0),
-            episodes: episodes(&ends, part),
+            episodes: self.episodes(&ends, part),
             rivals: self.unexplained().filter(|end| within(end.at)).count(),
-            known: told.sound.is_some(),
+            known: told.sound.is_some() || told.going,
             others: told.others,
             ends,
         }
     }
 
+    /// Number of moments at which engines ended with a part. Requests that were sent before an outage make
+    /// no second moment of it, however late their hosts notice. Where many engines ended at once, a part
+    /// counts only if it was on at least half of them, in a request that an answer had begun to: others may
+    /// just have waited there.
+    fn episodes(&self, ends: &[&End], part: u64) -> usize {
+        let mut begun: Option<Ms> = None;
+        let mut count = 0;
+        for (at, carried) in carried(ends, part) {
+            let next = begun.is_none_or(|begun| at - begun > EPISODE && carried.sent > begun);
+            if next && self.counts(part, carried, at) {
+                begun = Some(at);
+                count += 1;
+            }
+        }
+        count
+    }
+
+    /// Whether the end of an engine at a moment says something of a part that was on it.
+    fn counts(&self, part: u64, carried: &Carried, at: Ms) -> bool {
+        let around = |end: &&End| end.at + EPISODE >= at && end.at <= at + EPISODE;
+        let first = self.ends.iter().find(around).map_or(at, |end| end.at);
+        // A request that was sent after the first end is no victim of the same outage.
+        let before = |end: &&End| end.carried.values().any(|carried| carried.sent < first);
+        let victims: Vec<&End> = self.ends.iter().filter(around).filter(before).collect();
+        let with = victims.iter().filter(|end| end.carried.contains_key(&Suspect::Part(part)));
+        victims.len() < OUTAGE_ENDS || (carried.begun && 2 * with.count() >= victims.len())
+    }
+
     fn evict(&mut self, now: Ms) {
         self.ends.retain(|end| now - end.at <= RETENTION);
         while self.ends.len() >= MAX_ENDS {
@@ -351,6 +421,25 @@
 }
 
 impl Case<'_> {
+    /// Whether something shows that engines work without the part: an answer had begun at most of its ends, so
+    /// that engines run; or others have sound answers; or engines of the same service ran on meanwhile.
+    /// Else all of them may end for a reason of their own.
+    fn is_grounded(&self, running: &[Running<'_>]) -> bool {
+        let begun = carried(&self.ends, self.part).filter(|(_, carried)| carried.begun).count();
+        let mut names: Vec<&str> = self.ends.iter().map(|end| name(&end.target)).collect();
+        names.sort_unstable();
+        names.dedup();
+        if 2 * begun > self.ends.len() || (self.others > 0 && names.len() > 1) {
+            return true;
+        }
+        let Some(first) = self.ends.first() else { return false };
+        let ended = |target: &&Running<'_>| names.binary_search(&target.name).is_ok();
+        let services: Vec<&str> = running.iter().filter(ended).map(|t| t.service).collect();
+        let same = |t: &&Running<'_>| services.is_empty() || services.contains(&t.service);
+        let alive = |t: &&Running<'_>| t.born < first.at && !ended(t);
+        names.len() > 1 && running.iter().filter(same).any(|t| alive(&t))
+    }
+
     fn is_proved(&self) -> bool {
         let threshold = if self.known { KNOWN_PART } else { NEW_PART };
         let open = self.ends.iter().filter(|end| !end.explained).count();
@@ -390,22 +479,14 @@
     }
 }
 
-fn carried<'a>(ends: &[&'a End], part: u64) -> impl Iterator<Item = (Ms, &'a Carried)> {
-    ends.iter().filter_map(move |end| Some((end.at, end.carried.get(&Suspect::Part(part))?)))
+/// The name of a target, of which this is an incarnation.
+fn name(target: &TargetId) -> &str {
+    let id = target.as_str();
+    id.rsplit_once('@').map_or(id, |(name, _)| name)
 }
 
-/// Number of moments at which engines ended with a part. Requests that were sent before an outage make
-/// no second moment of it, however late their hosts notice.
-fn episodes(ends: &[&End], part: u64) -> usize {
-    let mut begun: Option<Ms> = None;
-    let mut count = 0;
-    for (at, carried) in carried(ends, part) {
-        if begun.is_none_or(|begun| at - begun > EPISODE && carried.sent > begun) {
-            begun = Some(at);
-            count += 1;
-        }
-    }
-    count
+fn carried<'a>(ends: &[&'a End], part: u64) -> impl Iterator<Item = (Ms, &'a Carried)> {
+    ends.iter().filter_map(move |end| Some((end.at, end.carried.get(&Suspect::Part(part))?)))
 }
 
 /// The hosts that are told of ends, the same ones in the same order for all that see the same hosts.
--- a/crates/sched/src/suspects/moment.rs
+++ b/crates/sched/src/suspects/moment.rs
@@ -78,8 +78,9 @@
     /// follows it in prompts: the sound first part of a bad one is on the same engines.
     fn has_rival(&self, other: &Case) -> bool {
         let apart = |prompt: &[u64]| prompt.contains(&other.part) && !prompt.contains(&self.part);
-        let mut prompts = other.ends.iter().flat_map(|end| &end.prompts);
+        let requests = other.ends.iter().flat_map(|end| &end.requests);
+        let mut prompts = requests.map(|request| request.parts.as_slice());
         100 * other.ends.len() >= EQUAL_PERCENT * self.ends.len()
-            && (other.place > self.place || prompts.any(|prompt| apart(prompt)))
+            && (other.place > self.place || prompts.any(apart))
     }
 }
--- a/crates/sched/tests/moment.rs
+++ b/crates/sched/tests/moment.rs
@@ -18,7 +18,7 @@
     let target = TargetId::from(format!("i-{number}@1"));
     for parts in prompts {
         let (target, sent, at) = (&target, Ms(at - 100), Ms(at));
-        ends.record(&BrokenRequest { target, request: None, parts, sent, at });
+        ends.record(&BrokenRequest { target, request: None, parts, begun: true, sent, at });
     }
 }
 
@@ -35,7 +35,8 @@
 fn told(ends: &Ends, sound: &[(u64, u64)], others: u64) -> HashMap<Suspect, Observed> {
     let sound = sound.iter().map(|(part, at)| (Suspect::Part(*part), Ms(*at)));
     let sound: HashMap<Suspect, Ms> = sound.collect();
-    let observed = |suspect: Suspect| Observed { sound: sound.get(&suspect).copied(), others };
+    let observed =
+        |suspect: Suspect| Observed { sound: sound.get(&suspect).copied(), others, going: false };
     ends.candidates().iter().map(|c| (c.suspect, observed(c.suspect))).collect()
 }
 
@@ -48,7 +49,7 @@
 #[test]
 fn a_part_that_alone_explains_the_ends_of_a_moment_is_quarantined() {
     let ends = burst(8);
-    assert_eq!(ends.diagnose(&told(&ends, &[], ENOUGH)), None);
+    assert_eq!(ends.diagnose(&told(&ends, &[], ENOUGH), &[]), None);
     assert_eq!(found(&ends, &[], ENOUGH, SETTLED), Some(BAD));
     assert_eq!(found(&burst(7), &[], ENOUGH, SETTLED), None);
 }
@@ -117,7 +118,7 @@
     assert!(!ends.is_confirmed());
     end(&mut ends, 41, MOMENT + 4_100, &[&[302, BAD]]);
     assert!(ends.is_confirmed());
-    let diagnosis = ends.diagnose(&told(&ends, &[], 0)).unwrap();
+    let diagnosis = ends.diagnose(&told(&ends, &[], 0), &[]).unwrap();
     assert_eq!((diagnosis.suspect, diagnosis.episodes), (Suspect::Part(BAD), 2));
 }
 
--- a/crates/sched/tests/requests.rs
+++ b/crates/sched/tests/requests.rs
@@ -25,6 +25,7 @@
                 target: &target,
                 request,
                 parts: &[],
+                begun: true,
                 sent,
                 at: Ms(at),
             });
@@ -36,7 +37,7 @@
         let told = |suspect: Suspect| {
             let of =
                 |(key, at): &(u64, u64)| (suspect == Suspect::Request(*key)).then_some(Ms(*at));
-            Observed { sound: sound.iter().find_map(of), others: 0 }
+            Observed { sound: sound.iter().find_map(of), ..Observed::default() }
         };
         let candidates = self.ends.candidates();
         let told: HashMap<Suspect, Observed> =
@@ -149,14 +150,21 @@
         let target = TargetId::from(format!("{n}@1"));
         for request in [Some(BAD), Some(100 + n)] {
             let (sent, at) = (Ms(940 + 1_000 * n), Ms(1_000 + 1_000 * n));
-            ends.record(&BrokenRequest { target: &target, request, parts: &[1], sent, at });
+            ends.record(&BrokenRequest {
+                target: &target,
+                request,
+                parts: &[1],
+                begun: true,
+                sent,
+                at,
+            });
         }
     }
     let told: HashMap<Suspect, Observed> =
         ends.candidates().iter().map(|c| (c.suspect, Observed::default())).collect();
-    assert_eq!(ends.diagnose(&told), None);
+    assert_eq!(ends.diagnose(&told, &[]), None);
     ends.quarantined(Suspect::Request(BAD));
-    assert_eq!(ends.diagnose(&told), None);
+    assert_eq!(ends.diagnose(&told, &[]), None);
 }
 
 // Guards against copies of one request that end all targets at one moment and count as an outage.
--- a/crates/sched/tests/suspects.rs
+++ b/crates/sched/tests/suspects.rs
@@ -27,7 +27,14 @@
         for parts in prompts {
             let sent = Ms(at - 100);
             let (target, at) = (&target, Ms(at));
-            self.ends.record(&BrokenRequest { target, request: None, parts, sent, at });
+            self.ends.record(&BrokenRequest {
+                target,
+                request: None,
+                parts,
+                begun: true,
+                sent,
+                at,
+            });
         }
     }
 
@@ -35,9 +42,13 @@
     fn diagnose(&self, sound: &[(u64, u64)], others: u64) -> Option<Diagnosis> {
         let sound = sound.iter().map(|(part, at)| (Suspect::Part(*part), Ms(*at)));
         let sound: HashMap<Suspect, Ms> = sound.collect();
-        let told = |suspect: Suspect| Observed { sound: sound.get(&suspect).copied(), others };
+        let told = |suspect: Suspect| Observed {
+            sound: sound.get(&suspect).copied(),
+            others,
+            going: false,
+        };
         let candidates = self.ends.candidates();
-        self.ends.diagnose(&candidates.iter().map(|c| (c.suspect, told(c.suspect))).collect())
+        self.ends.diagnose(&candidates.iter().map(|c| (c.suspect, told(c.suspect))).collect(), &[])
     }
 
     fn part(&self, sound: &[(u64, u64)], others: u64) -> Option<u64> {
@@ -162,18 +173,26 @@
     let target = TargetId::from("i-0@1");
     for n in 0..4 {
         let (sent, at) = (Ms(10_000 + 1_000 * n), Ms(10_500 + 1_000 * n));
-        ends.record(&BrokenRequest { target: &target, request: None, parts: &[BAD], sent, at });
+        ends.record(&BrokenRequest {
+            target: &target,
+            request: None,
+            parts: &[BAD],
+            begun: true,
+            sent,
+            at,
+        });
         // One more of the same end.
         ends.record(&BrokenRequest {
             target: &target,
             request: None,
             parts: &[7],
+            begun: true,
             sent,
             at: at + Ms(30),
         });
     }
     let told = ends.candidates().iter().map(|c| (c.suspect, Observed::default())).collect();
-    assert_eq!(ends.diagnose(&told).unwrap().targets.len(), 4);
+    assert_eq!(ends.diagnose(&told, &[]).unwrap().targets.len(), 4);
 }
 
 // Guards against evidence that is asked about again at each end, though sound answers have refuted it.
@@ -248,8 +267,15 @@
     for n in 0..22 {
         let target = TargetId::from(format!("i-{n}@1"));
         let (sent, at) = (Ms(9_000), Ms(10_000 + 100 * n));
-        ends.record(&BrokenRequest { target: &target, request: None, parts: &[FIRST], sent, at });
+        ends.record(&BrokenRequest {
+            target: &target,
+            request: None,
+            parts: &[FIRST],
+            begun: true,
+            sent,
+            at,
+        });
     }
     let told = ends.candidates().iter().map(|c| (c.suspect, Observed::default())).collect();
-    assert_eq!(ends.diagnose(&told), None);
+    assert_eq!(ends.diagnose(&told, &[]), None);
 }
--- a/crates/wire/src/gen/siskinwheel.v1.rs
+++ b/crates/wire/src/gen/siskinwheel.v1.rs
@@ -968,8 +968,8 @@
 #[serde(default)]
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct BrokenRequest {
-    /// The parts of its prompt that other requests share, in order; empty unless the target had just
-    /// begun to answer it.
+    /// The parts of its prompt that other requests share, in order; empty if the target is known to
+    /// have lived on after it had begun to answer it.
     #[prost(uint64, repeated, tag = "1")]
     pub parts: ::prost::alloc::vec::Vec<u64>,
     /// Time since it was sent to the target, ms.
@@ -981,6 +981,9 @@
     /// Its key; unset if it isn't known.
     #[prost(uint64, optional, tag = "4")]
     pub request: ::core::option::Option<u64>,
+    /// Whether any of an answer to it had arrived.
+    #[prost(bool, tag = "5")]
+    pub begun: bool,
 }
 /// What may end targets.
 #[derive(serde::Serialize, serde::Deserialize)]
@@ -1050,9 +1053,12 @@
     /// Time since the last sound answer with it began, ms; unset if none is remembered.
     #[prost(uint64, optional, tag = "1")]
     pub sound_ms: ::core::option::Option<u64>,
-    /// Number of sound answers that began after the time of the query.
+    /// Number of sound answers that began after the time of the query, those that go on included.
     #[prost(uint64, tag = "2")]
     pub others: u64,
+    /// Whether an answer with it goes on that has done so for some time. Its target may still end.
+    #[prost(bool, tag = "3")]
+    pub going: bool,
 }
 /// The software version at which a stream began.
 #[derive(serde::Serialize, serde::Deserialize)]
@@ -1170,6 +1176,9 @@
     pub revision: u64,
     #[prost(message, repeated, tag = "2")]
     pub suspects: ::prost::alloc::vec::Vec<Suspect>,
+    /// Those that an operator has removed last.
+    #[prost(message, repeated, tag = "3")]
+    pub lifted: ::prost::alloc::vec::Vec<Suspect>,
 }
 /// Software versions at which streams may have begun.
 #[derive(serde::Serialize, serde::Deserialize)]
