LOST: names and metadata that can't be read hide no other object

A host that started beside odd objects in the store was never ready: where a page of a list held only names that can't be read, where a page ended with a name that needs an encoding in a path (a space, &, #, %), or where a live target's object had an odd revision. Hosts that were there went on by the watch.

Cause: what can't be read of one object was taken for a fact about the list. A page without a readable name counted as the last one, an object without a readable revision as none, and names were written into calls as they are.

--- a/crates/edge/src/builds.rs
+++ b/crates/edge/src/builds.rs
@@ -7,13 +7,13 @@
 
 use base::Ms;
 use catalog::{Build, UnusedBuilds};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use crate::backoff::Backoff;
 use crate::core::Core;
 use crate::directory::{DirectoryError, Kind};
-use crate::read::list;
+use crate::read::{Listed, list};
 
 /// Interval between checks for versions without targets.
 const CHECK_INTERVAL: Ms = Ms::secs(60);
@@ -100,9 +100,14 @@
 
 /// Reads the list, and returns it with the revisions of its objects.
 async fn read_list(core: &Core) -> Result<BTreeMap<Build, u64>, DirectoryError> {
-    let (records, position) = list(core, core.directory.as_ref(), Kind::Builds).await?;
+    let Listed { records, position, whole } =
+        list(core, core.directory.as_ref(), Kind::Builds).await?;
     let listed = records.into_iter().filter_map(|record| record.body.build());
     let listed: BTreeMap<Build, u64> = listed.collect();
-    core.apply_builds(position, &listed.keys().cloned().collect());
+    let mut builds: BTreeSet<Build> = listed.keys().cloned().collect();
+    if !whole {
+        builds.extend(core.builds().listed());
+    }
+    core.apply_builds(position, &builds);
     Ok(listed)
 }
--- a/crates/edge/src/core/known.rs
+++ b/crates/edge/src/core/known.rs
@@ -173,6 +173,11 @@
         self.handle_events(&mut view, source, events);
     }
 
+    /// Names of all known targets.
+    pub(crate) fn target_names(&self) -> Vec<TargetId> {
+        lock(&self.store).registry.targets().map(|target| target.entry.id.clone()).collect()
+    }
+
     /// Applies all changes of targets up to `position`, which is in the era of the last list.
     pub(crate) fn apply_target_updates(
         &self,
--- a/crates/edge/src/directory.rs
+++ b/crates/edge/src/directory.rs
@@ -93,6 +93,8 @@
     pub records: Vec<Record>,
     /// The name after which the next page starts; none on the last page that can be read.
     pub next: Option<String>,
+    /// Whether nothing is left out between this page and the next one.
+    pub whole: bool,
     /// The position at which it was read.
     pub position: Position,
 }
--- a/crates/edge/src/end_store.rs
+++ b/crates/edge/src/end_store.rs
@@ -98,7 +98,7 @@
 
 /// Reads all that is kept.
 async fn read_all(core: &Core) -> Result<Records, DirectoryError> {
-    let found = list(core, core.directory.as_ref(), Kind::Ends).await?.0;
+    let found = list(core, core.directory.as_ref(), Kind::Ends).await?.records;
     let now = core.clock.now();
     let mut records = Records::new();
     for record in found {
--- a/crates/edge/src/evacuate.rs
+++ b/crates/edge/src/evacuate.rs
@@ -5,14 +5,15 @@
 //! host holds is current, which a silent watch does not, and the lists are short since evacuations
 //! are rare.
 
-use base::Ms;
+use base::{DomainId, Ms};
 use logs::note;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use crate::backoff::Backoff;
 use crate::core::Core;
 use crate::directory::{Directory, DirectoryError, Kind, Record, RecordBody};
-use crate::read::list;
+use crate::read::{Listed, list};
 
 /// Time between two lists, in percent of the time within which an evacuation must be in force. The
 /// rest of that time allows for one call that gets no answer and for the wait of a host that asks
@@ -61,14 +62,17 @@
 
 async fn list_all(core: &Core, directory: &dyn Directory) -> Result<(), DirectoryError> {
     let sent = core.clock.now();
-    let (records, position) = list(core, directory, Kind::Evacuations).await?;
-    let domains = records.into_iter().filter_map(domain).collect();
-    core.apply_evacuations(|held| held.list(sent, position, domains));
+    let Listed { records, position, whole } = list(core, directory, Kind::Evacuations).await?;
+    let domains: BTreeSet<DomainId> = records.into_iter().filter_map(domain).collect();
+    core.apply_evacuations(|held| {
+        let domains = if whole { domains } else { &domains | held.domains() };
+        held.list(sent, position, domains)
+    });
     Ok(())
 }
 
 /// The failure domain that a record names.
-fn domain(record: Record) -> Option<base::DomainId> {
+fn domain(record: Record) -> Option<DomainId> {
     match record.body {
         RecordBody::Evacuation => Some(record.name.as_str().into()),
         RecordBody::Catalog(_)
--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -6,7 +6,7 @@
 //! changes often. They are listed again after a watch fails, when the store no longer has the
 //! history since the last watch, or when it has come back from an older copy.
 
-use base::Ms;
+use base::{Ms, TargetId};
 use catalog::{LAPSE_GRACE, Position, Update};
 use logs::note;
 use std::sync::Arc;
@@ -17,7 +17,7 @@
     Change, Declared, Directory, DirectoryError, Kind, Record, RecordBody, Updates,
 };
 use crate::evacuate;
-use crate::read::{STORE_TIMEOUT, list, read};
+use crate::read::{Listed, STORE_TIMEOUT, list, read};
 
 /// Time between two reads of the configuration, in percent of the time within which a change must
 /// be in force. It leaves the hosts that ask this one enough time to notice that its reads fail and
@@ -218,11 +218,11 @@
         let watched = !gap.exists() && core.clock.now() < list_at;
         let since = core.position().filter(|since| watched && core.in_newest_era(*since));
         let Some(since) = since else {
-            let (records, position) = list(core, directory, Kind::Targets).await?;
+            let listed = list(core, directory, Kind::Targets).await?;
             backoff.succeeded();
             let lapse = gap.listed(core);
             lapse.into_iter().for_each(|until| core.keep_missing_until(until));
-            apply_list(core, records, position);
+            apply_list(core, listed);
             list_at = core.clock.now() + LIST_INTERVAL;
             continue;
         };
@@ -239,13 +239,17 @@
 
 /// Lists all targets once.
 async fn list_targets(core: &Core, directory: &dyn Directory) -> Result<(), DirectoryError> {
-    let (records, position) = list(core, directory, Kind::Targets).await?;
-    apply_list(core, records, position);
+    let listed = list(core, directory, Kind::Targets).await?;
+    apply_list(core, listed);
     Ok(())
 }
 
-fn apply_list(core: &Core, records: Vec<Record>, position: Position) {
-    let names = records.iter().map(|r| r.name.clone()).collect();
+fn apply_list(core: &Core, listed: Listed) {
+    let Listed { records, position, whole } = listed;
+    let mut names: Vec<TargetId> = records.iter().map(|r| r.name.clone()).collect();
+    if !whole {
+        names.extend(core.target_names());
+    }
     let entries = records.into_iter().filter_map(|r| match update(r) {
         Update::Set(entry) => Some(entry),
         Update::Malformed(_) | Update::Removed(_) => None,
--- a/crates/edge/src/origin_store.rs
+++ b/crates/edge/src/origin_store.rs
@@ -16,7 +16,7 @@
 use crate::backoff::Backoff;
 use crate::core::Core;
 use crate::directory::{DirectoryError, Kind, RecordBody};
-use crate::read::list;
+use crate::read::{Listed, list};
 
 /// Interval between two writes of a host that begins streams. What began since the last one is lost
 /// if all hosts end.
@@ -72,7 +72,7 @@
 }
 
 async fn read_all(core: &Core, written: &mut Written) -> Result<(), DirectoryError> {
-    let (records, _) = list(core, core.directory.as_ref(), Kind::Origins).await?;
+    let Listed { records, .. } = list(core, core.directory.as_ref(), Kind::Origins).await?;
     let now = core.clock.now();
     let mut streams = 0;
     for record in records {
--- a/crates/edge/src/quarantine.rs
+++ b/crates/edge/src/quarantine.rs
@@ -11,7 +11,7 @@
 use crate::backoff::Backoff;
 use crate::core::Core;
 use crate::directory::{Change, DirectoryError, Kind, Updates};
-use crate::read::{STORE_TIMEOUT, list, read};
+use crate::read::{Listed, STORE_TIMEOUT, list, read};
 
 /// Longest time until the list is read again while it holds anything. A store that comes back from an older
 /// copy need not say so, and a watch reports nothing of it: what it has lost must be written again before all
@@ -98,10 +98,15 @@
     read_list(core, &removed.collect::<Vec<Suspect>>()).await
 }
 
+/// Reads the list. `removed` is what an operator is known to have removed since the last one.
 async fn read_list(core: &Core, removed: &[Suspect]) -> Result<Position, DirectoryError> {
-    let (records, position) = list(core, core.directory.as_ref(), Kind::Quarantine).await?;
+    let Listed { records, position, whole } =
+        list(core, core.directory.as_ref(), Kind::Quarantine).await?;
     let listed = records.into_iter().filter_map(|record| record.body.quarantined());
-    let listed: Vec<Suspect> = listed.collect();
+    let mut listed: Vec<Suspect> = listed.collect();
+    if !whole {
+        listed.extend(core.quarantine().listed());
+    }
     core.apply_quarantine(QuarantineList { position, listed: &listed, removed, own: true });
     Ok(position)
 }
--- a/crates/edge/src/read.rs
+++ b/crates/edge/src/read.rs
@@ -2,6 +2,7 @@
 
 use base::Ms;
 use catalog::Position;
+use logs::note;
 
 use crate::core::Core;
 use crate::directory::{Directory, DirectoryError, Kind, Positioned, Record};
@@ -9,15 +10,25 @@
 /// Time-out for a response of the store: sixty times its usual response time.
 pub(crate) const STORE_TIMEOUT: Ms = Ms(700);
 
-/// Reads all records of a kind. Also returns the position from which to watch for changes.
+/// The records of a kind.
+pub(crate) struct Listed {
+    pub(crate) records: Vec<Record>,
+    /// The position from which to watch for changes.
+    pub(crate) position: Position,
+    /// Whether these are all. Otherwise one that is missing may exist all the same.
+    pub(crate) whole: bool,
+}
+
+/// Reads all records of a kind.
 pub(crate) async fn list(
     core: &Core,
     directory: &dyn Directory,
     kind: Kind,
-) -> Result<(Vec<Record>, Position), DirectoryError> {
+) -> Result<Listed, DirectoryError> {
     let mut records = Vec::new();
     let mut after: Option<String> = None;
     let mut first: Option<Position> = None;
+    let mut whole = true;
     loop {
         let list = || directory.list(kind, after.as_deref());
         core.metrics.store_call("list");
@@ -28,11 +39,17 @@
         if page.position.era != since.era {
             return Err(DirectoryError::Restored);
         }
-        match page.next {
-            Some(next) => after = Some(next),
-            None => return Ok((records, since)),
+        whole &= page.whole;
+        // A page that ends with the name after which it was asked for would come again and again.
+        if page.next.is_none() || page.next == after {
+            break;
         }
+        after = page.next;
+    }
+    if !whole {
+        note!(logs::Event::ListIncomplete, kind = ?kind, records = records.len());
     }
+    Ok(Listed { records, position: first.unwrap_or_default(), whole })
 }
 
 /// One call that reads from the store. An answer from before the store came back from an older copy
