--- a/crates/edge/src/relay/forward.rs
+++ b/crates/edge/src/relay/forward.rs
@@ -178,7 +178,7 @@
     /// Time for which bytes lay unread, because the caller or this host paused, proves nothing.
     fn record_life(&mut self, waited: Waited) {
         let Some(open) = self.open.as_mut() else { return };
-        open.lived = open.lived + waited.time(&self.core);
+        open.lived += waited.time(&self.core);
         open.lease.lived(open.lived);
     }
 
