BUDGET: five ends under two requests are sufficient where no outage is among them

Two requests with the part that each ended engine after engine, by the host's own resumes, made five ends at two moments, and the part was found only after three engines more: 5 of 30 requests reached engines, where 3 may.

Cause: six ends were asked for at two moments, since at one moment many engines may end in an outage.

Change: where no outage is among the ends, five are sufficient at two moments, for a part without a sound answer.

--- a/crates/sched/src/suspects.rs
+++ b/crates/sched/src/suspects.rs
@@ -82,8 +82,11 @@
 }
 
 impl Threshold {
-    fn is_reached(&self, ends: usize, episodes: usize) -> bool {
-        let spared = usize::from(ends >= self.ends + ENDS_FOR_EPISODE);
+    /// `calm` tells that no outage was among the ends: then one more makes up for an episode, as where two
+    /// requests have each ended engine after engine.
+    fn is_reached(&self, ends: usize, episodes: usize, calm: bool) -> bool {
+        let further = if calm { 1 } else { ENDS_FOR_EPISODE };
+        let spared = usize::from(ends >= self.ends + further);
         ends >= self.ends && episodes + spared >= self.episodes
     }
 }
@@ -359,6 +362,7 @@
             part,
             place: carried(&ends, part).map(|(_, c)| c.place).max().unwrap_or(0),
             episodes: self.episodes(&ends, part),
+            calm: ends.iter().all(|end| self.victims(end.at).len() < OUTAGE_ENDS),
             rivals: self.unexplained().filter(|end| within(end.at)).count(),
             known: told.sound.is_some() || told.going,
             others: told.others,
@@ -383,13 +387,18 @@
         count
     }
 
-    /// Whether the end of an engine at a moment says something of a part that was on it.
-    fn counts(&self, part: u64, carried: &Carried, at: Ms) -> bool {
+    /// The ends around a moment of targets that had requests before the first of them. A request that was
+    /// sent after it is no victim of the same outage.
+    fn victims(&self, at: Ms) -> Vec<&End> {
         let around = |end: &&End| end.at + EPISODE >= at && end.at <= at + EPISODE;
         let first = self.ends.iter().find(around).map_or(at, |end| end.at);
-        // A request that was sent after the first end is no victim of the same outage.
         let before = |end: &&End| end.carried.values().any(|carried| carried.sent < first);
-        let victims: Vec<&End> = self.ends.iter().filter(around).filter(before).collect();
+        self.ends.iter().filter(around).filter(before).collect()
+    }
+
+    /// Whether the end of an engine at a moment says something of a part that was on it.
+    fn counts(&self, part: u64, carried: &Carried, at: Ms) -> bool {
+        let victims = self.victims(at);
         let with = victims.iter().filter(|end| end.carried.contains_key(&Suspect::Part(part)));
         victims.len() < OUTAGE_ENDS || (carried.begun && 2 * with.count() >= victims.len())
     }
--- a/crates/sched/src/suspects/case.rs
+++ b/crates/sched/src/suspects/case.rs
@@ -20,6 +20,8 @@
     /// Ends with it since its last sound answer.
     pub(super) ends: Vec<&'a End>,
     pub(super) episodes: usize,
+    /// Whether none of them was in an outage.
+    pub(super) calm: bool,
     /// Ends between the first and the last of them that no quarantined part explains.
     pub(super) rivals: usize,
     pub(super) known: bool,
@@ -49,7 +51,8 @@
     pub(super) fn is_proved(&self) -> bool {
         let threshold = if self.known { KNOWN_PART } else { NEW_PART };
         let open = self.ends.iter().filter(|end| !end.explained).count();
-        let enough = threshold.is_reached(self.ends.len(), self.episodes);
+        let calm = self.calm && !self.known;
+        let enough = threshold.is_reached(self.ends.len(), self.episodes, calm);
         let engines_work = !self.known || self.others >= OTHER_ANSWERS;
         let several = self.is_in_several_requests();
         let explains = match self.known {
