Test of a stopped host: nobody else gets its port

Traced by its answer, that of the echo of these tests: a listener of another test had got the port that was free again.

--- a/crates/peer/tests/calls.rs
+++ b/crates/peer/tests/calls.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use wire::{Claim, Exchange, Finish, FleetObject, Grant, GrantKind, Member};
 
 #[derive(Default)]
@@ -81,6 +81,10 @@
     let (listener, _) = start_echo().await;
     let addr = listener.addr();
     listener.close().await;
+    // Held without listening: a listener of another test may get the port otherwise, and answer.
+    let port = TcpSocket::new_v4().unwrap();
+    port.set_reuseaddr(true).unwrap();
+    port.bind(addr).unwrap();
     let client = PeerClient::new(Ms::secs(5));
     let result = client.exchange(addr, Exchange::default()).await;
     assert_eq!(result, Err(PeerError::Unreachable));
