--- a/bins/siskinwheeld/tests/system/env/mod.rs
+++ b/bins/siskinwheeld/tests/system/env/mod.rs
@@ -32,11 +32,16 @@
 impl Process {
     /// Sends a signal to this process only; `name` is an option of `kill`, such as `-TERM`.
     pub fn signal(&self, name: &str) {
-        let pid = self.child.id().to_string();
+        let pid = self.id().to_string();
         let status = Command::new("kill").args([name, &pid]).status().expect("kill runs");
         assert!(status.success(), "signal {name} to {pid}");
     }
 
+    /// Its id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Waits until the process has exited.
     pub fn wait(&mut self) -> ExitStatus {
         self.child.wait().expect("the process can be waited for")
--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -61,6 +61,9 @@
     pub address: SocketAddr,
 }
 
+/// Least memory of a machine, in millions of bytes: a host without callers takes up to half of it.
+const MIN_MEMORY_MB: u32 = 64;
+
 /// Limits on what is read from callers and targets.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -76,6 +79,8 @@
     /// Maximum number of open connections of callers; further ones are closed immediately.
     /// Default 10000.
     pub connections: usize,
+    /// Memory of the machine, in millions of bytes. Default: what the operating system reports.
+    pub memory_mb: Option<u32>,
     /// Time-out for a connection to a target, ms. Above one second, because the operating system
     /// retransmits a lost packet after one second, and a single loss should not be a failure.
     /// Default 1500.
@@ -93,6 +98,7 @@
             answer_bytes: 4 << 20,
             read_ms: Ms::secs(10),
             connections: 10_000,
+            memory_mb: None,
             connect_ms: Ms(1_500),
             resume_ms: Ms::secs(5),
         }
@@ -216,6 +222,11 @@
             ("limits.body_bytes", self.limits.body_bytes >= 1, "at least 1"),
             ("limits.answer_bytes", self.limits.answer_bytes >= 1, "at least 1"),
             ("limits.connections", self.limits.connections >= 1, "at least 1"),
+            (
+                "limits.memory_mb",
+                self.limits.memory_mb.is_none_or(|mb| mb >= MIN_MEMORY_MB),
+                "at least 64",
+            ),
             ("silence.target_ms", self.silence.target_ms >= Ms(1), "at least 1"),
             ("silence.platform_ms", self.silence.platform_ms >= Ms(1), "at least 1"),
             ("limits.read_ms", self.limits.read_ms >= Ms(1), "at least 1"),
--- a/crates/edge/src/accept.rs
+++ b/crates/edge/src/accept.rs
@@ -31,9 +31,6 @@
 use crate::refusal::{Reason, refuse};
 use crate::request;
 
-/// Limit of open caller connections; further ones are closed as soon as they are accepted. A
-/// connection takes about 20 KB, so this many fit into the memory of a small host beside its work.
-const MAX_CONNECTIONS: usize = 2_000;
 /// Delay after a failed accept. When the process is out of file descriptors, an immediate retry
 /// would spin.
 const ACCEPT_RETRY_DELAY: Ms = Ms(10);
@@ -146,7 +143,7 @@
             accepted = listener.accept() => accepted,
         };
         match accepted {
-            Ok((tcp, _)) if open.len() < MAX_CONNECTIONS => {
+            Ok((tcp, _)) if open.len() < app.core.settings().connections => {
                 open.spawn(serve_connection(tcp, app.clone(), stop.clone()));
             }
             Ok(_) => refuse_connection(&app.core),
@@ -165,7 +162,7 @@
         note!(
             logs::Event::CallerConnectionClosed,
             end = ConnectionEnd::TooMany.name(),
-            limit_connections = MAX_CONNECTIONS,
+            limit_connections = core.settings().connections,
             stands_for
         );
     }
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -27,6 +27,12 @@
     /// The number of cores isn't above 0.
     #[error("cores: must be above 0")]
     Cores,
+    /// Less memory than a host needs.
+    #[error("memory_mb: must be at least {MIN_MEMORY_MB}")]
+    Memory,
+    /// No connection is allowed.
+    #[error("connections: must be at least 1")]
+    Connections,
     /// A bound is out of range.
     #[error("bounds.{field}: must be {range}")]
     Range {
@@ -69,6 +75,12 @@
     /// hosts with more of them. Default 1.
     #[serde(default = "one_core")]
     pub cores: f64,
+    /// Memory of the host, in millions of bytes. Default: what the operating system reports.
+    #[serde(default)]
+    pub memory_mb: Option<u32>,
+    /// Most connections of callers that are open at once. Default 2000.
+    #[serde(default = "most_connections")]
+    pub connections: usize,
     /// Time bounds and allowances that the platform requires.
     #[serde(default)]
     pub bounds: Bounds,
@@ -107,10 +119,19 @@
     pub retry_window_s: f64,
 }
 
+/// Default of [`Settings::connections`].
+const DEFAULT_CONNECTIONS: usize = 2_000;
+/// Least memory of a host, in millions of bytes: without callers it takes about half of that.
+const MIN_MEMORY_MB: u32 = 64;
+
 fn one_core() -> f64 {
     1.0
 }
 
+fn most_connections() -> usize {
+    DEFAULT_CONNECTIONS
+}
+
 impl Default for Bounds {
     fn default() -> Self {
         Self {
@@ -146,6 +167,12 @@
         if settings.cores.is_nan() || settings.cores <= 0.0 {
             return Err(SettingsError::Cores);
         }
+        if settings.memory_mb.is_some_and(|mb| mb < MIN_MEMORY_MB) {
+            return Err(SettingsError::Memory);
+        }
+        if settings.connections == 0 {
+            return Err(SettingsError::Connections);
+        }
         let Bounds {
             revoke_ms,
             config_ms,
--- a/crates/edge/tests/settings.rs
+++ b/crates/edge/tests/settings.rs
@@ -38,6 +38,10 @@
     assert_eq!(bound, "bounds.grace_s: must be at least 1");
     let cores = error(&format!("{GOOD}cores: 0\n"));
     assert_eq!(cores, "cores: must be above 0");
+    let memory = error(&format!("{GOOD}memory_mb: 32\n"));
+    assert_eq!(memory, "memory_mb: must be at least 64");
+    let connections = error(&format!("{GOOD}connections: 0\n"));
+    assert_eq!(connections, "connections: must be at least 1");
     let missing = error(&GOOD.replace("host: edge-1\n", ""));
     assert!(missing.contains("host"), "{missing}");
 }
@@ -59,6 +63,7 @@
         ("seedNodes|json", "[\"10.0.0.1:8628\",\"10.0.0.2:8628\"]"),
         ("bootstrap|json", "true"),
         ("limits.cpuQuota|json", "0.25"),
+        ("limits.memoryMb|json", "260"),
         ("bounds.revokeStrict|json", "true"),
         ("bounds.revokeMs|json", "4000"),
         ("bounds.configApplyMs|json", "2500"),
@@ -86,7 +91,7 @@
     assert!(!text.contains("{{"), "{text}");
     let settings = Settings::parse(&text).unwrap();
     assert_eq!((settings.seeds.len(), settings.bounds.revoke_ms), (2, Ms(4_000)));
-    assert_eq!(settings.cores, 0.25);
+    assert_eq!((settings.cores, settings.memory_mb), (0.25, Some(260)));
     let bounds = &settings.bounds;
     assert_eq!((bounds.evacuate_ms, bounds.cold_factor), (Some(Ms(5_000)), Some(1.5)));
 }
