Bodies of callers are counted in one budget of bytes, and kept in one buffer

What callers saw: a host ended, out of memory, under many bodies of legal size that stopped short of their end.

Cause: each body had a limit, their sum had none. A body was kept as one piece of memory for each of its frames, which kept the buffer that it was read into, and was copied whole beside them. A length announced over the limit was read up to the limit before it was refused, and as much again was read and discarded.

Change: a process has one budget, half of its machine's memory (`memory_mb`, else what the system reports). The new crate `memory` decides who gets bytes: connections that have made no progress for a second yield, by what they hold and for how long; of requests that wait for bytes the oldest waits and younger ones are refused, so they never wait for each other; an eighth is kept for small requests; other hosts and the platform are let in beyond it. A body is read into one buffer that is charged as it grows and stays charged until the request ends. A length over the limit is refused at the head. Sockets have receive buffers of 16 KiB, which the charge of a connection contains. A request without room gets 503 `memory` and `Retry-After` before anything is sent to a target. Refusals and connection ends that clients cause in numbers are logged as a sample.

Why it suffices: every byte of a body is charged before its buffer grows, and what is charged has a bound.

--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -80,6 +80,7 @@
     /// Default 10000.
     pub connections: usize,
     /// Memory of the machine, in millions of bytes. Default: what the operating system reports.
+    #[serde(skip_serializing_if = "Option::is_none")]
     pub memory_mb: Option<u32>,
     /// Time-out for a connection to a target, ms. Above one second, because the operating system
     /// retransmits a lost packet after one second, and a single loss should not be a failure.
--- a/crates/conf/tests/documented.rs
+++ b/crates/conf/tests/documented.rs
@@ -146,7 +146,8 @@
 ";
     let parse = |yaml: &str| Settings::parse(yaml).expect("the text is valid");
     let seeds = "seeds:\n  - host: x\n    domain: d\n    address: 127.0.0.1:5\n";
-    let all = fields(&parse(&format!("{MINIMAL}{seeds}"))).into_keys().collect();
+    let optional = "limits: {memory_mb: 64}\n";
+    let all = fields(&parse(&format!("{MINIMAL}{seeds}{optional}"))).into_keys().collect();
     let page = include_str!("../../../docs/OPERATIONS.md");
     compare(page, &format!("{MINIMAL}{seeds}"), fields(&parse(&format!("{MINIMAL}{seeds}"))), all);
 }
--- a/crates/edge/src/accept.rs
+++ b/crates/edge/src/accept.rs
@@ -10,8 +10,9 @@
 use hyper::service::service_fn;
 use hyper::{HeaderMap, Request, Response, Version, header};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use link::Stop;
+use link::{Progress, Stop};
 use logs::note;
+use memory::Account;
 use std::convert::Infallible;
 use std::io;
 use std::panic::AssertUnwindSafe;
@@ -39,6 +40,9 @@
 const MIN_HEAD_BYTES: usize = 8_192;
 /// Time that a connection being closed for idleness has to flush its last bytes.
 const CLOSE_TIMEOUT: Ms = Ms::secs(1);
+/// Time that a connection which must yield has to send the refusal of its request.
+const EVICT_TIMEOUT: Ms = Ms(250);
+
 /// A TCP stream that reports reads, writes and flushes to the connection's [`Activity`]. If a
 /// request's body is unread at its end, it discards what still arrives, see [`Linger`].
 struct MonitoredStream {
@@ -49,18 +53,17 @@
 
 impl MonitoredStream {
     fn note_write(&self, polled: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
-        if let Poll::Ready(Ok(_)) = polled {
-            self.activity.on_write();
-        }
+        self.activity.on_write(&polled);
         polled
     }
 }
 
 impl Drop for MonitoredStream {
     /// To a caller of HTTP/1.0 a connection that is closed ends the response as if it were whole. Only a
-    /// reset tells that it isn't.
+    /// reset tells that it isn't. A reset also discards what the caller of an answer hasn't taken, which the
+    /// kernel would otherwise keep.
     fn drop(&mut self) {
-        if self.activity.is_unframed() {
+        if self.activity.is_unframed() || self.activity.lost_its_answer() {
             // A failure leaves the connection to be closed.
             let _ = self.tcp.set_zero_linger();
         }
@@ -143,10 +146,12 @@
             accepted = listener.accept() => accepted,
         };
         match accepted {
-            Ok((tcp, _)) if open.len() < app.core.settings().connections => {
-                open.spawn(serve_connection(tcp, app.clone(), stop.clone()));
-            }
-            Ok(_) => refuse_connection(&app.core),
+            Ok((tcp, _)) => match app.core.callers.open() {
+                Some(account) => {
+                    open.spawn(serve_connection(tcp, account, app.clone(), stop.clone()));
+                }
+                None => refuse_connection(&app.core),
+            },
             Err(_) => tokio::time::sleep(ACCEPT_RETRY_DELAY.duration()).await,
         }
     }
@@ -169,9 +174,11 @@
 }
 
 /// Serves a connection until its end, and records why it ended.
-async fn serve_connection(tcp: TcpStream, app: Arc<App>, stop: Stop) {
+async fn serve_connection(tcp: TcpStream, account: Arc<Account>, app: Arc<App>, stop: Stop) {
     let core = app.core.clone();
-    let activity = Arc::new(Activity::new(core.clock.clone(), core.limits().idle_timeout));
+    let progress = Progress::new(account);
+    let activity =
+        Arc::new(Activity::new(core.clock.clone(), core.limits().idle_timeout, progress));
     let served = AssertUnwindSafe(run_connection(tcp, app, &activity, stop)).catch_unwind();
     if served.await.is_err() {
         ConnectionEnd::Panicked.record(&core, &activity);
@@ -213,6 +220,11 @@
                 ConnectionEnd::Idle
             }
         },
+        () = activity.progress().account().evicted() => {
+            // The refusal of a request that is being read leaves in this time.
+            let _ = tokio::time::timeout(EVICT_TIMEOUT.duration(), conn.as_mut()).await;
+            ConnectionEnd::Evicted
+        }
         () = stop.wait() => {
             conn.as_mut().graceful_shutdown();
             let result = conn.as_mut().await;
--- a/crates/edge/src/activity.rs
+++ b/crates/edge/src/activity.rs
@@ -1,7 +1,10 @@
 //! Tracks what a caller's connection is doing: its open request, and since when it is idle.
 
 use base::{Clock, Ms};
+use link::Progress;
+use std::io;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::task::Poll;
 
 /// Time for which a connection is kept past its idle limit. A request that its caller sends just
 /// within the limit needs time to arrive.
@@ -102,12 +105,13 @@
 /// The activity of a connection.
 pub(crate) struct Activity {
     clock: Arc<dyn Clock>,
+    progress: Progress,
     state: Mutex<State>,
 }
 
 impl Activity {
     /// A connection that has just been opened.
-    pub(crate) fn new(clock: Arc<dyn Clock>, idle_limit: Ms) -> Self {
+    pub(crate) fn new(clock: Arc<dyn Clock>, idle_limit: Ms, progress: Progress) -> Self {
         let state = State {
             open: 0,
             unflushed: false,
@@ -122,16 +126,22 @@
             announced: false,
             unread: false,
         };
-        Self { clock, state: Mutex::new(state) }
+        Self { clock, progress, state: Mutex::new(state) }
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// What the connection's account knows of it.
+    pub(crate) fn progress(&self) -> &Progress {
+        &self.progress
+    }
+
     /// Records that bytes have arrived. Line breaks before a head are skipped by the HTTP library,
     /// and some callers send one after a body, so they begin no head.
     pub(crate) fn on_read(&self, bytes: &[u8]) {
+        self.progress.on_read(bytes.len());
         let begins = bytes.iter().any(|byte| !matches!(byte, b'\r' | b'\n'));
         let mut state = self.state();
         if begins && !state.is_busy() && state.head_since.is_none() {
@@ -139,13 +149,17 @@
         }
     }
 
-    /// Records that bytes were written.
-    pub(crate) fn on_write(&self) {
-        self.state().written_at = self.clock.now();
+    /// Records a write, or an attempt that the caller does not take.
+    pub(crate) fn on_write(&self, polled: &Poll<io::Result<usize>>) {
+        self.progress.on_write(polled);
+        if matches!(polled, Poll::Ready(Ok(_))) {
+            self.state().written_at = self.clock.now();
+        }
     }
 
     /// Records that everything written so far has left the process.
     pub(crate) fn on_flush(&self) {
+        self.progress.on_flush();
         let mut state = self.state();
         if state.unflushed {
             state.unflushed = false;
@@ -155,6 +169,7 @@
 
     /// Records that the head of a request was read.
     pub(crate) fn request_started(&self) {
+        self.progress.request_begun();
         let mut state = self.state();
         state.open += 1;
         state.served += 1;
@@ -171,6 +186,9 @@
 
     /// Records how far the request is.
     pub(crate) fn request_reached(&self, phase: Phase) {
+        if phase != Phase::Reading {
+            self.progress.request_read();
+        }
         if let Some(request) = &mut self.state().request {
             request.phase = phase;
         }
@@ -178,6 +196,7 @@
 
     /// Records that the response was produced to its end or dropped.
     pub(crate) fn response_ended(&self) {
+        self.progress.answered();
         let mut state = self.state();
         state.open -= 1;
         state.unflushed = true;
@@ -243,6 +262,11 @@
         self.state().is_busy()
     }
 
+    /// Whether the connection had to yield while it held an answer.
+    pub(crate) fn lost_its_answer(&self) -> bool {
+        self.progress.account().is_evicted() && self.state().is_busy()
+    }
+
     /// Whether the body of the request was read to its end.
     pub(crate) fn has_whole_body(&self) -> bool {
         self.state().request.as_ref().is_some_and(|request| request.phase != Phase::Reading)
--- a/crates/edge/src/connection_end.rs
+++ b/crates/edge/src/connection_end.rs
@@ -28,6 +28,8 @@
     UnreadBody,
     /// The host ended a response early.
     Truncated,
+    /// It made no progress while others needed its place or its bytes.
+    Evicted,
     /// Its task panicked.
     Panicked,
 }
@@ -61,6 +63,7 @@
             Self::Announced => "announced",
             Self::UnreadBody => "unread_body",
             Self::Truncated => "truncated",
+            Self::Evicted => "evicted",
             Self::Panicked => "panicked",
         }
     }
@@ -70,10 +73,20 @@
         matches!(self, Self::Caller | Self::Idle | Self::Stopping | Self::Announced)
     }
 
+    /// Whether it comes in numbers from clients that don't behave, so that only a sample is logged.
+    const fn is_of_client(self) -> bool {
+        matches!(
+            self,
+            Self::Evicted | Self::UnreadBody | Self::SlowHead | Self::Stalled | Self::Protocol
+        )
+    }
+
     /// Counts the end. Logs it if a request lost its answer and the caller did not end the
     /// connection itself, or if the end isn't plain.
     pub(crate) fn record(self, core: &Core, activity: &Activity) {
         core.metrics.caller_connection_closed(self.name());
+        let stands_for = if self.is_of_client() { core.sample(false) } else { Some(1) };
+        let Some(stands_for) = stands_for else { return };
         let seen = activity.summary();
         let limit = self.limit_ms(core, &seen);
         match seen.request {
@@ -84,14 +97,16 @@
                 phase = request.phase.name(),
                 served = seen.served,
                 idle_ms = seen.idle.0,
-                limit_ms = limit
+                limit_ms = limit,
+                stands_for
             ),
             _ if !self.is_plain() => note!(
                 logs::Event::CallerConnectionClosed,
                 end = self.name(),
                 served = seen.served,
                 idle_ms = seen.idle.0,
-                limit_ms = limit
+                limit_ms = limit,
+                stands_for
             ),
             _ => {}
         }
--- a/crates/edge/src/core.rs
+++ b/crates/edge/src/core.rs
@@ -29,6 +29,7 @@
 pub(crate) use self::known::Source;
 use self::known::StoreView;
 use self::silence::SilenceDetector;
+use crate::callers::Callers;
 use crate::connections::Queues;
 use crate::dialect::Dialect;
 use crate::directory::{Declared, Directory};
@@ -54,6 +55,8 @@
     pub(crate) pauses: Arc<PauseMeter>,
     /// Evacuated failure domains, and the hosts that share the request limit of cold targets.
     pub(crate) gate: Gate,
+    /// What is held for callers.
+    pub(crate) callers: Callers,
     /// Requests that wait for connections.
     pub(crate) queues: Queues,
     /// Liveness checks of the hosts whose results this one waits for.
@@ -134,16 +137,20 @@
     }
 }
 
+/// What a host's shared state is made of.
+pub(crate) struct Parts {
+    pub(crate) dialect: Arc<dyn Dialect>,
+    pub(crate) directory: Arc<dyn Directory>,
+    pub(crate) clock: Arc<dyn Clock>,
+    pub(crate) members: Members,
+    pub(crate) pauses: Arc<PauseMeter>,
+    pub(crate) metrics: Metrics,
+    pub(crate) callers: Callers,
+}
+
 impl Core {
-    pub(crate) fn new(
-        settings: Settings,
-        dialect: Arc<dyn Dialect>,
-        directory: Arc<dyn Directory>,
-        clock: Arc<dyn Clock>,
-        members: Members,
-        pauses: Arc<PauseMeter>,
-        metrics: Metrics,
-    ) -> Self {
+    pub(crate) fn new(settings: Settings, parts: Parts) -> Self {
+        let Parts { dialect, directory, clock, members, pauses, metrics, callers } = parts;
         let revoke = settings.bounds.revoke_strict.then_some(settings.bounds.revoke_ms);
         let now = clock.now();
         let past = if settings.first_start { Past::None } else { Past::Unknown(now) };
@@ -154,6 +161,7 @@
             members,
             pauses,
             gate: Gate::new(now, &settings),
+            callers,
             queues: Queues::default(),
             liveness: LivenessProbes::default(),
             loads: Loads::default(),
@@ -214,6 +222,7 @@
     /// Applies changed settings. Addresses that are in use stay as they were at the start.
     pub(crate) fn set_settings(&self, settings: Settings) {
         self.budgets().for_each(|mut b| b.set_allowance(allowance(&settings)));
+        self.callers.apply(&settings);
         self.settings.store(Arc::new(settings));
     }
 
--- a/crates/edge/src/discard.rs
+++ b/crates/edge/src/discard.rs
@@ -18,6 +18,7 @@
 
 use crate::activity::Activity;
 use crate::body::ResponseBody;
+use crate::refusal::LeaveBody;
 
 /// Longest time for which the rest of a body is awaited after its response.
 const DISCARD_TIMEOUT: Ms = Ms::secs(2);
@@ -40,6 +41,10 @@
     if activity.has_whole_body() || body.is_end_stream() {
         return;
     }
+    if response.extensions_mut().remove::<LeaveBody>().is_some() {
+        activity.body_left_unread();
+        return;
+    }
     if awaits_permission || body.size_hint().lower() > limit as u64 {
         let close = header::HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -6,6 +6,7 @@
 use hyper::{Request, Response, StatusCode};
 use link::{Body, Bounds, Handler, Stop, full};
 use logs::note;
+use memory::Class;
 use sched::budget::Spender;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -16,8 +17,9 @@
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinHandle;
 
+use crate::callers::Callers;
 use crate::composer::{Composer, StageService};
-use crate::core::Core;
+use crate::core::{Core, Parts};
 use crate::dialect::Dialect;
 use crate::directory::Directory;
 use crate::members::{self, Members};
@@ -114,18 +116,20 @@
         let peer = settings.peer;
         let listen = |source| HostError::Listen { addr: peer, source };
         let pauses = Arc::new(PauseMeter::new(clock.clone()));
+        let callers = Callers::new(&settings, clock.clone());
         let (members, node, outbox) =
             Members::start(&settings, clock.clone(), pauses.clone()).await.map_err(listen)?;
         let (addr, ready, metrics) = (settings.listen, settings.ready, settings.metrics);
-        let core = Arc::new(Core::new(
-            settings,
+        let parts = Parts {
             dialect,
-            directory.clone(),
+            directory: directory.clone(),
             clock,
             members,
             pauses,
-            Metrics::new()?,
-        ));
+            metrics: Metrics::new()?,
+            callers,
+        };
+        let core = Arc::new(Core::new(settings, parts));
         let composer = Arc::new(Composer::new(core.clone()));
         members::serve(&node, Arc::new(StageService(composer.clone())));
         let app = Arc::new(App {
@@ -156,11 +160,11 @@
             tokio::spawn(count_hosts(core.clone())),
             tokio::spawn(pause::follow(core.clone())),
         ];
-        let mut aux = vec![listen_aux(ready, Ready(core.clone())).await?];
+        let mut aux = vec![listen_aux(&core, ready, Ready(core.clone()))?];
         if let Some(addr) = metrics {
-            aux.push(listen_aux(addr, MetricsText(core.clone())).await?);
+            aux.push(listen_aux(&core, addr, MetricsText(core.clone()))?);
         }
-        let listener = bind(addr).await?;
+        let listener = bind(addr)?;
         let listen = listener.local_addr().unwrap_or(addr);
         let stop = Stop::new();
         let task = tokio::spawn(accept::serve(listener, app.clone(), stop.clone()));
@@ -264,18 +268,24 @@
         core.origins().evict(core.clock.now());
         core.builds().expire(core.clock.now());
         core.metrics.known_streams(core.origins().len());
+        core.metrics.caller_bytes(core.callers.budget().used());
     }
 }
 
-async fn bind(addr: SocketAddr) -> Result<TcpListener, HostError> {
-    TcpListener::bind(addr).await.map_err(|source| HostError::Listen { addr, source })
+fn bind(addr: SocketAddr) -> Result<TcpListener, HostError> {
+    link::listen(addr).map_err(|source| HostError::Listen { addr, source })
 }
 
-async fn listen_aux<H: Handler>(addr: SocketAddr, handler: H) -> Result<Listener, HostError> {
-    let listener = bind(addr).await?;
+fn listen_aux<H: Handler>(
+    core: &Core,
+    addr: SocketAddr,
+    handler: H,
+) -> Result<Listener, HostError> {
+    let listener = bind(addr)?;
     let stop = Stop::new();
     let bounds = Bounds { read_ms: Ms::secs(60), connections: 64, ..Bounds::default() };
-    let serve = link::serve(listener, bounds, Arc::new(handler), stop.clone());
+    let places = core.callers.budget().places(Class::Internal, bounds.connections);
+    let serve = link::serve_within(listener, bounds, places, Arc::new(handler), stop.clone());
     let task = tokio::spawn(async move {
         let _ = serve.await;
     });
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -19,6 +19,7 @@
 mod backoff;
 mod body;
 mod builds;
+mod callers;
 mod choose;
 mod composer;
 mod connection_end;
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -25,6 +25,7 @@
     resent_pieces: Counter<u64>,
     streams: Counter<u64>,
     known_streams: Gauge<u64>,
+    caller_bytes: Gauge<u64>,
     poison_parts: Gauge<u64>,
     poison_requests: Gauge<u64>,
     targets_ended: Counter<u64>,
@@ -74,6 +75,7 @@
             resent_pieces: meter.u64_counter("edge_pieces_resent").build(),
             streams: meter.u64_counter("edge_streams_went_on").build(),
             known_streams: meter.u64_gauge("edge_known_streams").build(),
+            caller_bytes: meter.u64_gauge("edge_caller_bytes").build(),
             poison_parts: meter.u64_gauge("edge_poison_parts").build(),
             poison_requests: meter.u64_gauge("edge_poison_requests").build(),
             targets_ended: meter.u64_counter("edge_targets_ended").build(),
@@ -157,6 +159,11 @@
         self.known_streams.record(streams as u64, &[]);
     }
 
+    /// Records the bytes that are held for those who connect to this host.
+    pub(crate) fn caller_bytes(&self, bytes: u64) {
+        self.caller_bytes.record(bytes, &[]);
+    }
+
     /// Records the numbers of parts of prompts and of requests that are refused because they end
     /// targets.
     pub(crate) fn quarantined(&self, parts: usize, requests: usize) {
--- a/crates/edge/src/refusal.rs
+++ b/crates/edge/src/refusal.rs
@@ -24,6 +24,8 @@
     TooLarge,
     /// Its body did not arrive completely.
     BodyBroken,
+    /// This host holds as many bytes for callers as its memory allows.
+    Memory,
     /// No route matches its host and path.
     NoRoute,
     /// Its API key is unknown.
@@ -101,6 +103,7 @@
             Self::Unreadable(_) => "unreadable",
             Self::TooLarge => "too_large",
             Self::BodyBroken => "body_broken",
+            Self::Memory => "memory",
             Self::NoRoute => "no_route",
             Self::NoKey => "no_key",
             Self::NoConfig => "no_config",
@@ -134,7 +137,8 @@
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::NoKey => StatusCode::UNAUTHORIZED,
             // For all of these the request has not run and never will.
-            Self::NoConfig
+            Self::Memory
+            | Self::NoConfig
             | Self::Unproved
             | Self::Stopping
             | Self::NoTime
@@ -156,11 +160,23 @@
         }
     }
 
+    /// Whether the rest of its body is not worth reading to keep the connection.
+    const fn leaves_body(self) -> bool {
+        matches!(self, Self::TooLarge | Self::Memory)
+    }
+
+    /// Whether it comes in numbers from clients that don't behave, so that only a sample is logged.
+    pub(crate) const fn is_sampled(self) -> bool {
+        matches!(self, Self::TooLarge | Self::Memory | Self::BodyBroken)
+    }
+
     /// Time after which the obstacle is expected to be gone.
     const fn retry_delay(self) -> Option<Ms> {
         match self {
             // Another host can serve the request now.
             Self::Unproved | Self::Stopping | Self::NoConfig => Some(Ms(50)),
+            // By then others have been served, or count as stalled.
+            Self::Memory => Some(memory::STALL_TIME),
             // By then a target may have come back, or its ejection ended.
             Self::NoTarget | Self::Outside => Some(Ms(500)),
             // By then the hosts have told each other of streams and versions.
@@ -185,6 +201,7 @@
             Self::Unreadable(err) => err.to_string(),
             Self::TooLarge => "the body is larger than the limit".into(),
             Self::BodyBroken => "the body did not come whole".into(),
+            Self::Memory => "this host holds as much for callers as its memory allows".into(),
             Self::NoRoute => "no route has this host and path".into(),
             Self::NoKey => "the key is not known".into(),
             Self::NoConfig => "this host has no configuration yet; ask another".into(),
@@ -254,6 +271,10 @@
     refuse(core, &call.head.id, reason, left)
 }
 
+/// Marks a response after which the rest of the request's body is not read.
+#[derive(Clone, Copy)]
+pub(crate) struct LeaveBody;
+
 /// The response for a reason. `left` is the time that the caller still has.
 pub(crate) fn refuse(core: &Core, id: &str, reason: Reason, left: Ms) -> Response<ResponseBody> {
     let retry =
@@ -265,7 +286,10 @@
     *response.headers_mut() = core.dialect.refusal_headers(id, retry);
     let kind = header::HeaderValue::from_static("application/json");
     response.headers_mut().insert(header::CONTENT_TYPE, kind);
-    if core.stopping() || reason == Reason::Unproved {
+    if reason.leaves_body() {
+        response.extensions_mut().insert(LeaveBody);
+    }
+    if core.stopping() || reason.leaves_body() || reason == Reason::Unproved {
         let close = header::HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
     }
--- a/crates/edge/src/request.rs
+++ b/crates/edge/src/request.rs
@@ -4,11 +4,12 @@
 use base::{Ms, PoolId, hash_parts};
 use bytes::Bytes;
 use catalog::{Catalog, Proof, Residency, Route, Workspace};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::http::request::Parts;
 use hyper::{Request, Response, header};
+use link::{BodyError, read_counted};
 use logs::note;
+use memory::{Charge, Purpose};
 use sched::budget::Spender;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -38,6 +39,9 @@
     pub(crate) residency: Residency,
     pub(crate) parts: Parts,
     pub(crate) body: Bytes,
+    /// The bytes that are held for it.
+    #[expect(dead_code, reason = "released when the request ends")]
+    pub(crate) charge: Charge,
     pub(crate) arrived: Ms,
     /// When its time is over.
     pub(crate) deadline: Ms,
@@ -104,7 +108,8 @@
     let id = head.id.clone();
     activity.request_named(&id);
     let waiting = Waiting { core: core.clone(), request: id.clone(), arrived, answered: false };
-    let admitted = admit(app, arrived, head, parts, body).await;
+    let charge = activity.progress().account().charge(Purpose::Request);
+    let admitted = admit(app, arrived, head, parts, body, charge).await;
     if admitted.is_ok() {
         activity.request_reached(Phase::Waiting);
     }
@@ -112,15 +117,7 @@
         Ok(call) if call.route.retry_safety.is_stream() => stream::run(app.clone(), call).await,
         Ok(call) => plain::run(core, &call).await,
         Err((reason, left)) => {
-            note!(
-                logs::Event::RequestRefused,
-                request = %id,
-                reason = reason.name(),
-                version = core.catalog().map(|c| c.version),
-                proof_age_ms = core.proof_age().map(|age| age.0),
-                left_ms = left.0
-            );
-            core.metrics.refused(reason.name());
+            note_refused(core, &id, reason, left);
             refuse(core, &id, reason, left)
         }
     };
@@ -128,6 +125,23 @@
     response
 }
 
+/// Counts and logs a request that is not admitted. Of those that come in numbers a sample is logged.
+fn note_refused(core: &Core, id: &str, reason: Reason, left: Ms) {
+    core.metrics.refused(reason.name());
+    let stands_for = if reason.is_sampled() { core.sample(false) } else { Some(1) };
+    if let Some(stands_for) = stands_for {
+        note!(
+            logs::Event::RequestRefused,
+            request = id,
+            reason = reason.name(),
+            version = core.catalog().map(|c| c.version),
+            proof_age_ms = core.proof_age().map(|age| age.0),
+            left_ms = left.0,
+            stands_for
+        );
+    }
+}
+
 /// Counts a request as open until the head of its response is ready.
 struct OpenGuard(Arc<App>);
 
@@ -170,6 +184,7 @@
     head: RequestHead,
     parts: Parts,
     body: &mut Incoming,
+    mut charge: Charge,
 ) -> Result<Call, (Reason, Ms)> {
     let core = &app.core;
     let requested = head.deadline.unwrap_or(DEFAULT_DEADLINE);
@@ -208,7 +223,10 @@
         return Err(refused(Reason::PoisonPart));
     }
     let deadline = arrived + time;
-    let body = read_body(body, catalog.limits.body_bytes, time).await.map_err(refused)?;
+    let body = read_body(body, catalog.limits.body_bytes, time, &mut charge).await;
+    let body = body.map_err(refused)?;
+    // From now on it doesn't yield: it may be sent.
+    charge.account().set_phase(memory::Phase::Serving);
     let name = workspace.as_ref().map_or("", |w| w.name.as_str());
     let path = parts.uri.path_and_query().map_or("", |p| p.as_str());
     let suspects = Suspects::new(&head, path, name, &body, route.stages.len());
@@ -229,18 +247,25 @@
         residency,
         parts,
         body,
+        charge,
         arrived,
         deadline,
         suspects,
     })
 }
 
-async fn read_body(body: &mut Incoming, limit: usize, timeout: Ms) -> Result<Bytes, Reason> {
-    let collected = Limited::new(body, limit).collect();
-    match tokio::time::timeout(timeout.duration(), collected).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(err)) if err.is::<LengthLimitError>() => Err(Reason::TooLarge),
-        Ok(Err(_)) => Err(Reason::BodyBroken),
+async fn read_body(
+    body: &mut Incoming,
+    limit: usize,
+    timeout: Ms,
+    charge: &mut Charge,
+) -> Result<Bytes, Reason> {
+    let read = read_counted(body, limit, charge);
+    match tokio::time::timeout(timeout.duration(), read).await {
+        Ok(Ok(body)) => Ok(body),
+        Ok(Err(BodyError::TooLarge)) => Err(Reason::TooLarge),
+        Ok(Err(BodyError::Full(_))) => Err(Reason::Memory),
+        Ok(Err(BodyError::Broken)) => Err(Reason::BodyBroken),
         Err(_) => Err(Reason::NoTime),
     }
 }
--- a/crates/link/src/error.rs
+++ b/crates/link/src/error.rs
@@ -34,3 +34,17 @@
     #[error("the body is malformed: {0}")]
     Malformed(#[from] serde_json::Error),
 }
+
+/// Why a body was not read to its end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum BodyError {
+    /// It is larger than the limit.
+    #[error("the body is larger than the limit")]
+    TooLarge,
+    /// There is no room for it in the memory of this host, or its connection must yield.
+    #[error(transparent)]
+    Full(#[from] memory::Full),
+    /// The connection broke.
+    #[error("the connection broke")]
+    Broken,
+}
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -7,11 +7,15 @@
 
 mod body;
 mod client;
+mod counted;
 mod error;
 mod limited;
+mod listen;
 mod server;
 
-pub use body::{Body, full, json, read, stream};
+pub use body::{Body, full, json, read, read_counted, stream};
 pub use client::{Conn, ConnPolicy, Pool, PoolConfig, call};
-pub use error::LinkError;
-pub use server::{Bounds, Handler, ServeSummary, Stop, serve};
+pub use counted::Progress;
+pub use error::{BodyError, LinkError};
+pub use listen::listen;
+pub use server::{Bounds, Handler, ServeSummary, Stop, serve, serve_within};
