A connection that has stopped yields its place to a new one

What callers saw: nobody was served while clients that sent nothing more held every connection; and a host was taken for dead when such clients held the places at the address for readiness.

Cause: at the limit of connections each new one was closed, however long the others had sent nothing.

Evidence: with 260 such clients and 200 places an ordinary request was closed unanswered in five of five tries, silent or in the middle of a body; with 260 at the address for readiness the host did not answer there.

Change: at the limit the connection of the same listener yields that has made no progress for longest, weighed by what it holds; incomplete requests before idle connections, requests at their targets never. If none has been without progress for a second, the new one is closed as before. The same holds when connections fill the budget.

Why it suffices: a client that stops is found after a second, whatever its number; one that goes on keeps its place.

--- a/crates/memory/src/ledger.rs
+++ b/crates/memory/src/ledger.rs
@@ -163,12 +163,13 @@
         std::mem::take(&mut self.evicted)
     }
 
-    /// Opens an account; none if there is no room.
+    /// Opens an account, and has a stalled connection yield if there is no room. None if nobody yields.
     pub fn open(&mut self, group: Group, now: Ms) -> Option<u64> {
-        let full = self.groups[group.0].open >= self.groups[group.0].most;
-        let internal = self.is_class(group, Class::Internal);
-        if full || (!internal && self.used + CONNECTION_BYTES > self.limit) {
-            return None;
+        while self.groups[group.0].open >= self.groups[group.0].most {
+            self.evict_stalled(now, |_, entry| entry.group == group)?;
+        }
+        while self.is_class(group, Class::Callers) && self.used + CONNECTION_BYTES > self.limit {
+            self.evict_stalled(now, |_, _| true)?;
         }
         let id = self.number();
         let entry = Entry {
--- a/crates/memory/tests/ledger.rs
+++ b/crates/memory/tests/ledger.rs
@@ -95,6 +95,31 @@
     assert_eq!(ledger.open(group, Ms::secs(60)), None);
 }
 
+// Guards against clients that hold every place, and against idle connections that yield before clients which
+// have stopped within a request.
+#[test]
+fn the_place_of_a_request_that_has_stopped_goes_to_a_new_connection() {
+    let (mut ledger, group) = ledger(2);
+    let (idle, stopped) = (ledger.open(group, Ms(0)).unwrap(), ledger.open(group, Ms(0)).unwrap());
+    ledger.set_phase(idle, Phase::Idle, Ms(1));
+    assert_eq!(ledger.open(group, Ms(500)), None, "nobody has stalled");
+    let late = STALL_TIME.scale(3, 1);
+    assert!(ledger.open(group, late).is_some());
+    assert_eq!(ledger.take_evicted(), [stopped]);
+    assert!(ledger.open(group, late).is_some());
+    assert_eq!(ledger.take_evicted(), [idle]);
+}
+
+// Guards against a client that sends or reads one byte now and then and so never counts as stalled.
+#[test]
+fn a_byte_now_and_then_is_no_progress() {
+    let (mut ledger, group) = ledger(1);
+    let slow = ledger.open(group, Ms(0)).unwrap();
+    (1..20).for_each(|n| ledger.moved(slow, 1, Ms(n * 100)));
+    assert!(ledger.open(group, Ms(2_000)).is_some());
+    assert_eq!(ledger.take_evicted(), [slow]);
+}
+
 // Guards against a configuration whose largest body is over the budget: nobody could send one.
 #[test]
 fn one_large_request_is_served_over_the_budget() {
