Answers are counted until their callers have read them

What callers saw: a host out of memory under callers that didn't read their answers.

Cause: an answer is read whole for its caller, up to 16 MiB, and stays until it is written; nothing added answers up, and a caller that took a byte now and then kept its answer for ever.

Evidence: 40 callers that read nothing of 8 MiB each take 353 MB of their machine's 128 MB.

Change: an answer is charged to the budget as it is read, and released when it is written. An answer that finds no room is 502 `failed`, and its target doesn't count as broken.

Why it suffices: what is read for a caller is charged before its buffer grows, from the first byte to the last one written.

--- a/crates/edge/src/accept.rs
+++ b/crates/edge/src/accept.rs
@@ -12,7 +12,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use link::{Progress, Stop};
 use logs::note;
-use memory::Account;
+use memory::{Account, Charge};
 use std::convert::Infallible;
 use std::io;
 use std::panic::AssertUnwindSafe;
@@ -281,6 +281,9 @@
     let core = app.core.clone();
     let handled = AssertUnwindSafe(request::handle(app, &activity, request)).catch_unwind();
     let mut response = handled.await.unwrap_or_else(|_| panic_response(&core, &activity));
+    if let Some(charge) = response.extensions_mut().remove::<Arc<Charge>>() {
+        activity.progress().hold(charge);
+    }
     if max_head_bytes(&core) != head_bytes {
         // The limit of an open connection can't be changed.
         let close = header::HeaderValue::from_static("close");
--- a/crates/edge/src/plain.rs
+++ b/crates/edge/src/plain.rs
@@ -213,6 +213,10 @@
                 self.failed = Some((response, link));
             }
             Attempt::Lost => self.runs += 1,
+            Attempt::NoRoom => {
+                self.runs += 1;
+                return Err(Reason::Failed);
+            }
         }
         let retryable = self.runs == 0 || (self.idempotent && self.runs < self.call.route.attempts);
         match () {
--- a/crates/edge/src/plain/attempt.rs
+++ b/crates/edge/src/plain/attempt.rs
@@ -4,8 +4,9 @@
 use bytes::Bytes;
 use hyper::Response;
 use hyper::http::response::Parts;
-use link::LinkError;
+use link::BodyError;
 use logs::note;
+use memory::Charge;
 use sched::health::Outcome;
 use std::sync::Arc;
 
@@ -37,6 +38,8 @@
     NotRun,
     /// The request may have run.
     Lost,
+    /// The request has run, and there is no room for its answer.
+    NoRoom,
 }
 
 /// Sends a request to a target at `started` and waits for its response until the request's time is
@@ -66,10 +69,16 @@
         answered.lease.close();
         return Attempt::NotRun;
     }
-    let (parts, body, lease) = match read(answered, call.left(core.clock.now())).await {
+    let mut charge = call.charge.for_answer();
+    let read = read(answered, call.left(core.clock.now()), &mut charge).await;
+    let (parts, body, lease) = match read {
         Ok(read) => read,
-        Err(LinkError::Silent) => return failed(core, call, link, started, SendFault::Silent),
-        Err(_) => {
+        Err(Unread::NoRoom) => {
+            core.metrics.sent(&call.route.name, "no_room");
+            return Attempt::NoRoom;
+        }
+        Err(Unread::Silent) => return failed(core, call, link, started, SendFault::Silent),
+        Err(Unread::Broken) => {
             link.record(core.clock.now(), Outcome::Broken);
             return failed(core, call, link, started, SendFault::Broken);
         }
@@ -88,7 +97,8 @@
         link.record(now, Outcome::Broken);
         return failed(core, call, link, started, SendFault::Mismatch);
     }
-    let response = build_response(core, &parts, body);
+    let mut response = build_response(core, &parts, body);
+    response.extensions_mut().insert(Arc::new(charge));
     if status.is_server_error() {
         link.record(now, Outcome::Failed);
         core.metrics.sent(&call.route.name, "failed");
@@ -120,15 +130,30 @@
     }
 }
 
-async fn read(answered: Answered, timeout: Ms) -> Result<(Parts, Bytes, Lease), LinkError> {
+/// Why an answer was not read to its end.
+enum Unread {
+    /// Its target stopped.
+    Silent,
+    /// Its target broke it off, or it is too large.
+    Broken,
+    /// This host has no room for it.
+    NoRoom,
+}
+
+async fn read(
+    answered: Answered,
+    timeout: Ms,
+    charge: &mut Charge,
+) -> Result<(Parts, Bytes, Lease), Unread> {
     let Answered { parts, body, mut lease, .. } = answered;
-    let read = link::read(body, MAX_RESPONSE_BYTES);
+    let read = link::read_counted(body, MAX_RESPONSE_BYTES, charge);
     let read = tokio::time::timeout(timeout.duration(), read).await;
-    match read.map_err(|_| LinkError::Silent)? {
+    match read.map_err(|_| Unread::Silent)? {
         Ok(body) => Ok((parts, body, lease)),
-        Err(err) => {
+        Err(BodyError::Full(_)) => Err(Unread::NoRoom),
+        Err(BodyError::Broken | BodyError::TooLarge) => {
             lease.broken();
-            Err(err)
+            Err(Unread::Broken)
         }
     }
 }
--- a/crates/edge/src/request.rs
+++ b/crates/edge/src/request.rs
@@ -40,7 +40,6 @@
     pub(crate) parts: Parts,
     pub(crate) body: Bytes,
     /// The bytes that are held for it.
-    #[expect(dead_code, reason = "released when the request ends")]
     pub(crate) charge: Charge,
     pub(crate) arrived: Ms,
     /// When its time is over.
