siskinwheeld counts what it holds for callers in the same budget

What callers saw: the same as at `siskinwheel-edge`: out of memory, places held, no answer at the admin address.

Cause: `entry::caller` read bodies whole, and nothing added them up; connections that had stopped kept their places.

Change: its listeners share one budget (`limits.memory_mb`), and bodies are read and charged by the code that the edge host uses. A body without room gets 503 `no_room` and `Retry-After`, not run. An answer is charged until it is written. The admin address has 256 places of its own.

--- a/crates/entry/src/caller.rs
+++ b/crates/entry/src/caller.rs
@@ -7,8 +7,9 @@
 use hyper::body::Incoming;
 use hyper::header::{self, HeaderMap, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode};
-use link::{Body, Handler, LinkError, json, read, stream};
+use link::{Body, BodyError, Handler, Progress, json, read_counted, stream};
 use logs::{Event, note};
+use memory::Purpose;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use tokio::sync::mpsc;
@@ -184,12 +185,18 @@
 
 async fn read_body(core: &Core, request: Request<Incoming>) -> Result<Ask, CallerError> {
     let limits = &core.settings().limits;
-    let body = read(request.into_body(), limits.body_bytes);
-    let body = timeout(limits.read_ms.duration(), body).await;
+    let (mut parts, body) = request.into_parts();
+    let progress = parts.extensions.remove::<Arc<Progress>>().ok_or(CallerError::NoRoom)?;
+    let mut charge = progress.account().charge(Purpose::Request);
+    let read = read_counted(body, limits.body_bytes, &mut charge);
+    let body = timeout(limits.read_ms.duration(), read).await;
     let body = body.map_err(|_| CallerError::BodySlow)?.map_err(|err| match err {
-        LinkError::TooLarge { limit } => CallerError::BodyTooLarge(limit),
-        _ => CallerError::BodyCut,
+        BodyError::TooLarge => CallerError::BodyTooLarge(limits.body_bytes),
+        BodyError::Full(_) => CallerError::NoRoom,
+        BodyError::Broken => CallerError::BodyCut,
     })?;
+    progress.request_read();
+    progress.hold(Arc::new(charge));
     serde_json::from_slice(&body).map_err(CallerError::BodyMalformed)
 }
 
--- a/crates/entry/src/error.rs
+++ b/crates/entry/src/error.rs
@@ -62,6 +62,9 @@
     /// The key is invalid.
     #[error("the Idempotency-Key is {0}")]
     Key(#[from] IdError),
+    /// The host holds as many bytes for callers as its memory allows.
+    #[error("this host holds as much for callers as its memory allows; come back soon")]
+    NoRoom,
     /// The body ended early.
     #[error("the body was cut short")]
     BodyCut,
@@ -92,6 +95,7 @@
             Self::DeadlinePast => "deadline_past",
             Self::KeyNeeded => "key_needed",
             Self::Key(_) => "bad_key",
+            Self::NoRoom => "no_room",
             Self::BodyCut => "body_cut",
             Self::BodySlow => "body_slow",
             Self::BodyTooLarge(_) => "body_too_large",
@@ -106,7 +110,7 @@
                 StatusCode::NOT_FOUND
             }
             Self::Method => StatusCode::METHOD_NOT_ALLOWED,
-            Self::NotReady => StatusCode::SERVICE_UNAVAILABLE,
+            Self::NotReady | Self::NoRoom => StatusCode::SERVICE_UNAVAILABLE,
             Self::UnknownWorkspace(_) => StatusCode::FORBIDDEN,
             Self::BodySlow => StatusCode::REQUEST_TIMEOUT,
             Self::BodyTooLarge(_) => StatusCode::PAYLOAD_TOO_LARGE,
--- a/crates/entry/src/host.rs
+++ b/crates/entry/src/host.rs
@@ -4,13 +4,13 @@
 use conf::Settings;
 use gossip::{Announcement, Node, NodeConfig};
 use journal::{Journal, Sharded, ShardedConfig};
-use link::{Bounds, Handler, ServeSummary, Stop, serve};
+use link::{Bounds, Handler, ServeSummary, Stop, serve_within};
 use logs::note;
+use memory::{Budget, Class, Places, budget_bytes};
 use policy::{Event, HostContext, State};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use store::{Api, HttpApi, HttpConfig, RateLimited};
-use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
 
@@ -27,6 +27,9 @@
 /// Interval at which draining checks for requests under way.
 const DRAIN_POLL: Ms = Ms(10);
 
+/// Most open connections at the admin address.
+const MAX_OPERATORS: usize = 256;
+
 /// A running entry host.
 pub struct Host {
     listen: SocketAddr,
@@ -55,6 +58,7 @@
     /// Starts a host. It accepts requests once a configuration is in force.
     pub async fn start(settings: Settings) -> Result<Self, HostError> {
         let clock: Arc<dyn Clock> = Arc::new(SystemClock::new());
+        let budget = Budget::new(budget_bytes(settings.limits.memory_mb), clock.clone());
         let api = platform_api(&settings);
         let node_config = NodeConfig { settings: settings.clone(), capacity: 0 };
         let (node, gossip_rx) = Node::start(node_config, api.clone(), clock.clone())
@@ -78,16 +82,14 @@
             read_ms: limits.read_ms,
             connections: limits.connections,
         };
+        let callers_places = budget.places(Class::Callers, limits.connections);
+        let admin_places = budget.places(Class::Internal, limits.connections.min(MAX_OPERATORS));
+        let callers = CallerHandler { core: core.clone() };
         let (listen, caller_listener) =
-            start_listener("listen", settings.listen, bounds, CallerHandler { core: core.clone() })
-                .await?;
-        let (admin, admin_listener) = start_listener(
-            "admin",
-            settings.admin,
-            bounds,
-            AdminHandler { core: core.clone(), node: node.reader() },
-        )
-        .await?;
+            start_listener("listen", settings.listen, bounds, callers_places, callers)?;
+        let operators = AdminHandler { core: core.clone(), node: node.reader() };
+        let (admin, admin_listener) =
+            start_listener("admin", settings.admin, bounds, admin_places, operators)?;
         let tasks = vec![
             tokio::spawn(news::forward(core.clone(), gossip_rx)),
             tokio::spawn(run_ticks(core.clone(), wakeup_rx)),
@@ -192,17 +194,19 @@
     }
 }
 
-async fn start_listener<H: Handler>(
+fn start_listener<H: Handler>(
     field: &'static str,
     addr: SocketAddr,
     bounds: Bounds,
+    places: Places,
     handler: H,
 ) -> Result<(SocketAddr, Listener), HostError> {
     let failed = |source| HostError::Listen { field, addr, source };
-    let listener = TcpListener::bind(addr).await.map_err(failed)?;
+    let listener = link::listen(addr).map_err(failed)?;
     let addr = listener.local_addr().map_err(failed)?;
     let stop = Stop::new();
-    let task = tokio::spawn(serve(listener, bounds, Arc::new(handler), stop.clone()));
+    let serve = serve_within(listener, bounds, places, Arc::new(handler), stop.clone());
+    let task = tokio::spawn(serve);
     Ok((addr, Listener { stop, task }))
 }
 
--- a/crates/entry/src/problem.rs
+++ b/crates/entry/src/problem.rs
@@ -11,7 +11,8 @@
 /// Response to an invalid request. `uncertain` says that an earlier send of the request may have
 /// run.
 pub(crate) fn invalid_request(err: &CallerError, uncertain: bool) -> Response<Body> {
-    let retry_after = matches!(err, CallerError::NotReady).then_some(Ms::secs(1));
+    let retry_after =
+        matches!(err, CallerError::NotReady | CallerError::NoRoom).then_some(Ms::secs(1));
     let mut ledger = Ledger::default();
     ledger.refused_unregistered(uncertain);
     let ran = ledger.verdict().as_str();
