Frames from other hosts are counted while they are incomplete

What callers saw: a host out of memory through its address for other hosts, which anyone may reach who is in the network.

Cause: each of 1,024 connections may send frames of 4 MiB, and nothing added up what had come of them.

Evidence: 48 frames that lack their last byte take 216 MB of 128 at `siskinwheel-edge` and 214 MB at `siskinwheeld`.

Change: the bytes of a frame are charged to the process's budget as they come. A connection whose frame finds no room closes, one whose frame has stopped yields. Short messages between hosts are let in beyond the budget, so hosts go on hearing of each other while callers hold all of it.

--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -118,7 +118,9 @@
         let pauses = Arc::new(PauseMeter::new(clock.clone()));
         let callers = Callers::new(&settings, clock.clone());
         let (members, node, outbox) =
-            Members::start(&settings, clock.clone(), pauses.clone()).await.map_err(listen)?;
+            Members::start(&settings, clock.clone(), pauses.clone(), callers.budget().clone())
+                .await
+                .map_err(listen)?;
         let (addr, ready, metrics) = (settings.listen, settings.ready, settings.metrics);
         let parts = Parts {
             dialect,
--- a/crates/edge/src/members.rs
+++ b/crates/edge/src/members.rs
@@ -5,6 +5,7 @@
 
 use base::{Clock, DomainId, HostId, Ms, PauseMeter, PoolId, RegionId, TargetId};
 use gossip::{Node, NodeConfig};
+use memory::Budget;
 use peer::{PeerClient, StagePeers, StageServer, View, ViewHost};
 use sched::assignment;
 use std::collections::HashMap;
@@ -77,12 +78,14 @@
         settings: &Settings,
         clock: Arc<dyn Clock>,
         pauses: Arc<PauseMeter>,
+        budget: Arc<Budget>,
     ) -> std::io::Result<(Self, Node, Outbox)> {
         let config = NodeConfig {
             settings: node_settings(settings),
             capacity: (settings.cores * 1000.0) as u32,
         };
-        let (node, _news) = Node::start(config, Arc::new(Empty), clock.clone()).await?;
+        let (node, _news) =
+            Node::start_within(config, Arc::new(Empty), clock.clone(), budget).await?;
         let (ends, ends_out) = mpsc::unbounded_channel();
         let (prompts, prompts_out) = mpsc::unbounded_channel();
         let (limits, limits_out) = mpsc::unbounded_channel();
--- a/crates/entry/src/host.rs
+++ b/crates/entry/src/host.rs
@@ -61,9 +61,14 @@
         let budget = Budget::new(budget_bytes(settings.limits.memory_mb), clock.clone());
         let api = platform_api(&settings);
         let node_config = NodeConfig { settings: settings.clone(), capacity: 0 };
-        let (node, gossip_rx) = Node::start(node_config, api.clone(), clock.clone())
-            .await
-            .map_err(|source| HostError::Listen { field: "peer", addr: settings.peer, source })?;
+        let (node, gossip_rx) =
+            Node::start_within(node_config, api.clone(), clock.clone(), budget.clone())
+                .await
+                .map_err(|source| HostError::Listen {
+                    field: "peer",
+                    addr: settings.peer,
+                    source,
+                })?;
         let journal = journal(&settings, api, clock.clone(), &node);
         let (wakeups, wakeup_rx) = mpsc::unbounded_channel();
         let deps = CoreDeps {
--- a/crates/gossip/src/node.rs
+++ b/crates/gossip/src/node.rs
@@ -6,6 +6,7 @@
 use hyper::{Method, Request, StatusCode, header};
 use link::{Pool, PoolConfig};
 use logs::note;
+use memory::{Budget, budget_bytes};
 use peer::{
     BoundListener, Claims, Listener, PeerClient, PeerError, PeerHandler, Peers, StageServer, View,
     ViewHost,
@@ -81,6 +82,17 @@
         config: NodeConfig,
         api: Arc<dyn Api>,
         clock: Arc<dyn Clock>,
+    ) -> std::io::Result<(Self, mpsc::UnboundedReceiver<Update>)> {
+        let budget = Budget::new(budget_bytes(None), clock.clone());
+        Self::start_within(config, api, clock, budget).await
+    }
+
+    /// The same with a budget for what is held for other hosts.
+    pub async fn start_within(
+        config: NodeConfig,
+        api: Arc<dyn Api>,
+        clock: Arc<dyn Clock>,
+        budget: Arc<Budget>,
     ) -> std::io::Result<(Self, mpsc::UnboundedReceiver<Update>)> {
         let settings = &config.settings;
         let bound = BoundListener::bind(settings.peer).await?;
@@ -105,7 +117,7 @@
             platform_ms: settings.silence.platform_ms,
             watch_ms: settings.silence.watch_ms,
         });
-        let listener = bound.serve(Arc::new(NodeHandler(shared.clone())));
+        let listener = bound.serve(Arc::new(NodeHandler(shared.clone())), budget);
         let tasks = vec![
             tokio::spawn(tick_loop(shared.clone())),
             tokio::spawn(forward_announcements(shared.clone(), announcements_rx)),
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -7,6 +7,7 @@
 mod client;
 mod error;
 mod listener;
+mod meter;
 mod size;
 mod tunnel;
 
--- a/crates/peer/src/listener.rs
+++ b/crates/peer/src/listener.rs
@@ -1,7 +1,8 @@
 //! The server for calls from other hosts, over tarpc.
 
-use base::Ms;
+use base::{Ms, SystemClock};
 use futures::StreamExt;
+use memory::{Account, Budget, Class, Phase, budget_bytes};
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
@@ -20,6 +21,7 @@
     SubjectReaders,
 };
 
+use crate::meter::MeteredStream;
 use crate::{PeerHandler, tunnel};
 
 /// Largest message in either direction, bytes. A full exchange carries the configuration, up to a
@@ -174,9 +176,9 @@
         self.addr
     }
 
-    /// Starts serving.
-    pub fn serve(self, handler: Arc<dyn PeerHandler>) -> Listener {
-        let task = tokio::spawn(accept(self.listener, handler));
+    /// Starts serving. What is held for other hosts is part of `budget`.
+    pub fn serve(self, handler: Arc<dyn PeerHandler>, budget: Arc<Budget>) -> Listener {
+        let task = tokio::spawn(accept(self.listener, handler, budget));
         Listener { addr: self.addr, task }
     }
 }
@@ -188,9 +190,11 @@
 }
 
 impl Listener {
-    /// Binds to `addr` and serves it; port 0 picks a free one.
+    /// Binds to `addr` and serves it; port 0 picks a free one. What is held for other hosts has a budget of
+    /// its own.
     pub async fn start(addr: SocketAddr, handler: Arc<dyn PeerHandler>) -> io::Result<Self> {
-        Ok(BoundListener::bind(addr).await?.serve(handler))
+        let budget = Budget::new(budget_bytes(None), Arc::new(SystemClock::new()));
+        Ok(BoundListener::bind(addr).await?.serve(handler, budget))
     }
 
     /// The address that it listens at.
@@ -205,8 +209,8 @@
     }
 }
 
-async fn accept(listener: TcpListener, handler: Arc<dyn PeerHandler>) {
-    let permits = Arc::new(Semaphore::new(MAX_CONNECTIONS));
+async fn accept(listener: TcpListener, handler: Arc<dyn PeerHandler>, budget: Arc<Budget>) {
+    let places = budget.places(Class::Internal, MAX_CONNECTIONS);
     let tunnels = Arc::new(Semaphore::new(MAX_TUNNELS));
     // Dropped with this task, which closes the connections.
     let mut open = JoinSet::new();
@@ -219,7 +223,7 @@
             tokio::time::sleep(ACCEPT_RETRY_MS.duration()).await;
             continue;
         };
-        let Ok(permit) = permits.clone().try_acquire_owned() else { continue };
+        let Some(account) = places.open() else { continue };
         let server = Server {
             handler: handler.clone(),
             last_call: Arc::new(Mutex::new(Instant::now())),
@@ -227,18 +231,23 @@
         };
         let tunnels = tunnels.clone();
         open.spawn(async move {
-            connection(tcp, server, &tunnels).await;
-            drop(permit);
+            tokio::select! {
+                () = connection(tcp, account.clone(), server, &tunnels) => {}
+                () = account.evicted() => {}
+            }
         });
     }
 }
 
-async fn connection(tcp: TcpStream, server: Server, tunnels: &Semaphore) {
+async fn connection(tcp: TcpStream, account: Arc<Account>, server: Server, tunnels: &Semaphore) {
     // Without TCP_NODELAY the connection is only slower.
     let _ = tcp.set_nodelay(true);
     match timeout(IDLE_MS.duration(), tunnel::is_requested(&tcp)).await {
-        Ok(true) => serve_tunnel(tcp, &server, tunnels).await,
-        Ok(false) => serve_calls(tcp, server).await,
+        Ok(true) => {
+            account.set_phase(Phase::Serving);
+            serve_tunnel(tcp, &server, tunnels).await;
+        }
+        Ok(false) => serve_calls(tcp, account, server).await,
         Err(_) => {}
     }
 }
@@ -251,8 +260,10 @@
     let _ = tunnel::serve(tcp, stages).await;
 }
 
-async fn serve_calls(tcp: TcpStream, server: Server) {
-    let frames = LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_framed(tcp);
+async fn serve_calls(tcp: TcpStream, account: Arc<Account>, server: Server) {
+    let stream = MeteredStream::new(tcp, account);
+    let frames =
+        LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_framed(stream);
     let transport = tarpc::serde_transport::new(frames, Bincode::default());
     let requests = BaseChannel::with_defaults(transport).execute(server.clone().serve());
     let served = requests.for_each(|call| async {
