--- a/bins/siskinwheeld/tests/clients/main.rs
+++ b/bins/siskinwheeld/tests/clients/main.rs
@@ -73,9 +73,7 @@
     async fn start() -> Self {
         let one = ONE.lock().await;
         let env = Env::start_with(COOPERATIVE, 1, SETTINGS).await;
-        let host = &env.hosts[0];
-        let addrs = [host.process.addr, host.admin, host.peer];
-        let usage = Usage::watch(host.process.id(), &addrs);
+        let usage = Usage::watch(env.hosts[0].process.id());
         Self { env, usage, _one: one }
     }
 
