Streams that nobody reads hold little, and yield

What callers saw: a host out of memory under callers that don't read their streams.

Cause: a connection to a target had the kernel's receive buffer, which grows to megabytes, and the client library read up to 400 KB before anybody took them. Neither was counted.

Evidence: 80 callers that read nothing of 8 MiB take 208 MB of their machine's 128 MB, mostly unread in sockets of engines.

Change: connections to targets have receive buffers of 32 KiB, and read 64 KiB at most before somebody takes them. A connection whose caller takes nothing is charged both while that lasts; if the budget is full and nobody else has stalled, it yields itself.

--- a/crates/edge/src/links.rs
+++ b/crates/edge/src/links.rs
@@ -22,6 +22,9 @@
 const CONNECT_TIMEOUT: Ms = Ms(300);
 /// How long an idle connection may be reused, unless the target announces a shorter time.
 const IDLE_TIMEOUT: Ms = Ms::secs(20);
+/// Receive buffer of a connection to a target, bytes. What waits there for a caller that doesn't read its
+/// stream counts as memory of this host; [`memory::BLOCKED_BYTES`] contains it.
+const RECEIVE_BUFFER_BYTES: u32 = 32 << 10;
 /// Most idle connections kept to one target.
 const MAX_IDLE: usize = 32;
 
@@ -74,8 +77,12 @@
     fn new(now: Ms, entry: Entry, rejoin_time: Ms) -> Self {
         let mut warmup = WarmupState::default();
         warmup.cold_until(now + entry.warmup);
-        let config =
-            PoolConfig { connect_ms: CONNECT_TIMEOUT, idle: MAX_IDLE, idle_ms: IDLE_TIMEOUT };
+        let config = PoolConfig {
+            connect_ms: CONNECT_TIMEOUT,
+            idle: MAX_IDLE,
+            idle_ms: IDLE_TIMEOUT,
+            receive_bytes: Some(RECEIVE_BUFFER_BYTES),
+        };
         Self {
             pool: Pool::new(entry.addr, config),
             connections: Connections::default(),
--- a/crates/link/src/client.rs
+++ b/crates/link/src/client.rs
@@ -16,6 +16,7 @@
 use tokio::time::timeout;
 
 use crate::limited::{HeadLimit, LimitedStream};
+use crate::listen::socket_for;
 use crate::{Body, LinkError, full, read};
 
 /// Limits of a connection pool.
@@ -27,11 +28,13 @@
     pub idle: usize,
     /// A connection that was idle for longer than this is not reused, ms.
     pub idle_ms: Ms,
+    /// Size of a connection's receive buffer, bytes. Default: the system's, which grows to megabytes.
+    pub receive_bytes: Option<u32>,
 }
 
 impl Default for PoolConfig {
     fn default() -> Self {
-        Self { connect_ms: Ms::secs(1), idle: 64, idle_ms: Ms::secs(20) }
+        Self { connect_ms: Ms::secs(1), idle: 64, idle_ms: Ms::secs(20), receive_bytes: None }
     }
 }
 
@@ -61,10 +64,13 @@
 /// included.
 ///
 /// A faulty server may send interim heads without end. The HTTP library skips them as long as they come,
-/// and would keep the thread and its other connections from running. The library may read up to 400 KB of
-/// the body together with the head, twice.
+/// and would keep the thread and its other connections from running. The library may read a buffer of the
+/// body together with the head, twice.
 const MAX_HEAD_BYTES: usize = 1 << 20;
 
+/// Most bytes that a connection reads before somebody takes them. A head must fit into them.
+const READ_BUFFER_BYTES: usize = 64 << 10;
+
 /// A connection, for one request at a time. It is closed when it is dropped without
 /// [`Pool::put`].
 pub struct Conn {
@@ -99,9 +105,19 @@
         Conn::over(self.open().await?).await
     }
 
+    async fn connect_tcp(&self) -> std::io::Result<TcpStream> {
+        let Some(bytes) = self.config.receive_bytes else {
+            return TcpStream::connect(self.addr).await;
+        };
+        let socket = socket_for(self.addr)?;
+        // A system that refuses the size keeps its own.
+        let _ = socket.set_recv_buffer_size(bytes);
+        socket.connect(self.addr).await
+    }
+
     /// Opens a stream to the pool's address.
     pub async fn open(&self) -> Result<TcpStream, LinkError> {
-        let open = timeout(self.config.connect_ms.duration(), TcpStream::connect(self.addr));
+        let open = timeout(self.config.connect_ms.duration(), self.connect_tcp());
         let tcp = match open.await {
             Ok(Ok(tcp)) => tcp,
             Ok(Err(err)) if err.kind() == ErrorKind::ConnectionRefused => {
@@ -187,7 +203,10 @@
     {
         let limit = HeadLimit::new(MAX_HEAD_BYTES);
         let stream = LimitedStream::new(stream, limit.clone());
-        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let handshake = http1::Builder::new()
+            .max_buf_size(READ_BUFFER_BYTES)
+            .handshake(TokioIo::new(stream))
+            .await;
         let (sender, conn) = handshake.map_err(|_| LinkError::Connect)?;
         tokio::spawn(async move {
             // The error is also returned to the caller that waits for the response.
--- a/crates/link/src/listen.rs
+++ b/crates/link/src/listen.rs
@@ -12,10 +12,7 @@
 
 /// Listens at an address for connections with small receive buffers.
 pub fn listen(addr: SocketAddr) -> io::Result<TcpListener> {
-    let socket = match addr {
-        SocketAddr::V4(_) => TcpSocket::new_v4()?,
-        SocketAddr::V6(_) => TcpSocket::new_v6()?,
-    };
+    let socket = socket_for(addr)?;
     // As the runtime's own listeners: a host that starts again gets its port at once.
     socket.set_reuseaddr(true)?;
     // A system that refuses the size keeps its own.
@@ -23,3 +20,11 @@
     socket.bind(addr)?;
     socket.listen(BACKLOG)
 }
+
+/// A socket of the address's family.
+pub(crate) fn socket_for(addr: SocketAddr) -> io::Result<TcpSocket> {
+    match addr {
+        SocketAddr::V4(_) => TcpSocket::new_v4(),
+        SocketAddr::V6(_) => TcpSocket::new_v6(),
+    }
+}
--- a/crates/memory/src/ledger.rs
+++ b/crates/memory/src/ledger.rs
@@ -11,6 +11,9 @@
 /// Bytes that a connection may take without a body or an answer: 24 KiB of state and write buffer, a head
 /// of 16 KiB, and 16 KiB that wait unread in its socket.
 pub const CONNECTION_BYTES: u64 = 56 << 10;
+/// Bytes that a connection may take in addition while its caller doesn't read: 32 KiB that wait unread in
+/// the socket of its target and 64 KiB that have been read from there.
+pub const BLOCKED_BYTES: u64 = 96 << 10;
 /// Time without progress after which a connection may have to yield.
 pub const STALL_TIME: Ms = Ms(1_000);
 /// Bytes that count as progress. A client that sends or reads a byte at a time would otherwise never stall.
@@ -210,9 +213,10 @@
             true => self.limit,
             false => self.limit - self.limit / SMALL_SHARE,
         };
+        let callers = self.is_class(group, Class::Callers);
         while self.used + bytes > limit {
             // One large request is served even if the configuration allows more than the budget.
-            if self.is_alone(id) && self.used + bytes <= limit + self.limit / 2 {
+            if callers && self.is_alone(id) && self.used + bytes <= limit + self.limit / 2 {
                 break;
             }
             let yielded = self
@@ -254,8 +258,28 @@
     /// Records what a connection waits for from now on.
     pub fn set_phase(&mut self, id: u64, phase: Phase, now: Ms) {
         let Some(entry) = self.entries.get_mut(&id) else { return };
-        if entry.phase != phase {
-            (entry.phase, entry.since, entry.moved) = (phase, now, 0);
+        let before = entry.phase;
+        if before == phase {
+            return;
+        }
+        (entry.phase, entry.since, entry.moved) = (phase, now, 0);
+        if before == Phase::Blocked {
+            self.release(id, BLOCKED_BYTES);
+        }
+        if phase == Phase::Blocked {
+            self.block(id, now);
+        }
+    }
+
+    /// Charges what a connection may hold while its caller doesn't read. If nobody has stalled that could
+    /// yield for it, it does so itself.
+    fn block(&mut self, id: u64, now: Ms) {
+        self.grant(id, BLOCKED_BYTES);
+        while self.used > self.limit {
+            if self.evict_stalled(now, |other, _| other != id).or_else(|| self.evict(id)).is_none()
+            {
+                return;
+            }
         }
     }
 
@@ -309,6 +333,7 @@
     }
 
     fn evict(&mut self, id: u64) -> Option<()> {
+        self.entries.get(&id)?;
         self.close(id);
         self.evicted.push(id);
         Some(())
--- a/crates/memory/src/lib.rs
+++ b/crates/memory/src/lib.rs
@@ -11,5 +11,7 @@
 
 pub use account::{Account, Charge, Full};
 pub use budget::{Budget, Places};
-pub use ledger::{CONNECTION_BYTES, Class, Group, Ledger, Phase, Purpose, STALL_TIME, Verdict};
+pub use ledger::{
+    BLOCKED_BYTES, CONNECTION_BYTES, Class, Group, Ledger, Phase, Purpose, STALL_TIME, Verdict,
+};
 pub use machine::budget_bytes;
--- a/crates/memory/tests/ledger.rs
+++ b/crates/memory/tests/ledger.rs
@@ -1,7 +1,9 @@
 //! Who gets bytes and who yields, in virtual time.
 
 use base::Ms;
-use memory::{CONNECTION_BYTES, Class, Group, Ledger, Phase, Purpose, STALL_TIME, Verdict};
+use memory::{
+    BLOCKED_BYTES, CONNECTION_BYTES, Class, Group, Ledger, Phase, Purpose, STALL_TIME, Verdict,
+};
 
 const MB: u64 = 1 << 20;
 const LIMIT: u64 = 64 * MB;
@@ -157,3 +159,21 @@
     assert!(ledger.open(internal, Ms(0)).is_some());
     assert_eq!(ledger.open(internal, Ms(0)), None, "no more than its places");
 }
+
+// Guards against streams of callers that don't read, of which each holds a little.
+#[test]
+fn callers_that_read_nothing_never_hold_more_than_the_budget() {
+    let (mut ledger, group) = ledger(10_000);
+    for _ in 0..2_000 {
+        let Some(id) = ledger.open(group, Ms(0)) else { break };
+        ledger.set_phase(id, Phase::Serving, Ms(0));
+        ledger.set_phase(id, Phase::Blocked, Ms(0));
+        assert!(ledger.used() <= LIMIT, "{}", ledger.used());
+    }
+    let (mut ledger, group) = self::ledger(1);
+    let id = ledger.open(group, Ms(0)).unwrap();
+    ledger.set_phase(id, Phase::Blocked, Ms(0));
+    assert_eq!(ledger.used(), CONNECTION_BYTES + BLOCKED_BYTES);
+    ledger.set_phase(id, Phase::Serving, Ms(0));
+    assert_eq!(ledger.used(), CONNECTION_BYTES);
+}
