siskinwheeld charges the copies that stages make of a body

What callers saw: nothing yet. The process takes 261 MB of its machine's 128 MB under 160 whole bodies of 1 MiB while targets are slow, although bodies are counted.

Cause: a request holds its input, and for each open call a copy of it and the call's text. Only the body was charged.

Evidence: the new test daemon_bears_whole_bodies_that_wait failed before this change, at 261 MB.

Change: four times the body is charged beside it, before the request is submitted: two copies for each of the two calls that a stage may have open. Without room it is 503 `no_room`, not run.

--- a/bins/siskinwheeld/tests/clients/main.rs
+++ b/bins/siskinwheeld/tests/clients/main.rs
@@ -30,6 +30,8 @@
 const FRAME_BYTES: u32 = 4 << 20;
 /// Size of a piece or of a large chunk, bytes.
 const PIECE: usize = 64 << 10;
+/// Factor by which targets are slow.
+const SLOWNESS: u64 = 2_000;
 /// Descriptors that the host may have open.
 const DESCRIPTORS: usize = 4_100;
 /// Settings of the host. Callers have a minute for their bodies.
@@ -77,6 +79,13 @@
         Self { env, usage, _one: one }
     }
 
+    /// Has all targets take so many times as long.
+    async fn slow_targets(&self, factor: u64) {
+        for target in self.env.targets.values() {
+            self.env.set_faults(target.addr, &format!(r#"{{"slow": {factor}}}"#)).await;
+        }
+    }
+
     fn listen(&self) -> SocketAddr {
         self.env.hosts[0].process.addr
     }
@@ -85,6 +94,11 @@
     /// and answers an ordinary request.
     async fn bear(&self, addr: SocketAddr, clients: usize, script: Script) {
         let _crowd = Crowd::send(addr, clients, script).await;
+        self.holds().await;
+    }
+
+    /// Checks what must hold while a crowd stays open.
+    async fn holds(&self) {
         self.usage.settle().await;
         let body = r#"{"input": "which grey?", "max_tokens": 2}"#;
         let lines = format!("Connection: close\r\nContent-Length: {}\r\n", body.len());
@@ -135,6 +149,22 @@
     host.bear(host.listen(), clients, endless_chunks(1, bytes)).await;
 }
 
+// Guards against whole bodies, and their copies for each stage, that are kept without bound while targets
+// are slow.
+#[tokio::test]
+async fn daemon_bears_whole_bodies_that_wait() {
+    let host = Host::start().await;
+    host.slow_targets(SLOWNESS).await;
+    let json = [r#"{"max_tokens": 2, "input": ""#, r#""}"#];
+    let room = BODY_BYTES - json.concat().len();
+    let body = format!("{}{}{}", json[0], "x".repeat(room), json[1]);
+    let script = Script::new([length(BODY_BYTES), body.into_bytes()]);
+    let _crowd = Crowd::send(host.listen(), LARGE_CLIENTS, script).await;
+    host.usage.settle().await;
+    host.slow_targets(1).await;
+    host.holds().await;
+}
+
 // Guards against bodies that are kept up to the limit although their length is announced as far over it.
 #[tokio::test]
 async fn daemon_bears_bodies_far_over_the_limit() {
--- a/crates/entry/src/caller.rs
+++ b/crates/entry/src/caller.rs
@@ -30,6 +30,10 @@
 /// Longest deadline that a caller may set; longer ones are shortened to it.
 const MAX_DEADLINE: Ms = Ms::secs(600);
 
+/// Copies of a body that a request holds beside it: its input and the text of a call, for each of the two
+/// calls that may be open for a stage.
+const STAGE_COPIES: usize = 4;
+
 /// Handles callers' requests.
 pub(crate) struct CallerHandler {
     pub(crate) core: Arc<Core>,
@@ -195,6 +199,8 @@
         BodyError::Full(_) => CallerError::NoRoom,
         BodyError::Broken => CallerError::BodyCut,
     })?;
+    let copies = charge.grow(body.len() * STAGE_COPIES).await;
+    copies.map_err(|_| CallerError::NoRoom)?;
     progress.request_read();
     progress.hold(Arc::new(charge));
     serde_json::from_slice(&body).map_err(CallerError::BodyMalformed)
