--- a/crates/edge/src/accept.rs
+++ b/crates/edge/src/accept.rs
@@ -10,7 +10,7 @@
 use hyper::service::service_fn;
 use hyper::{HeaderMap, Request, Response, Version, header};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use link::{Progress, Stop};
+use link::{EVICT_TIMEOUT, Progress, Stop};
 use logs::note;
 use memory::{Account, Charge};
 use std::convert::Infallible;
@@ -40,8 +40,6 @@
 const MIN_HEAD_BYTES: usize = 8_192;
 /// Time that a connection being closed for idleness has to flush its last bytes.
 const CLOSE_TIMEOUT: Ms = Ms::secs(1);
-/// Time that a connection which must yield has to send the refusal of its request.
-const EVICT_TIMEOUT: Ms = Ms(250);
 
 /// A TCP stream that reports reads, writes and flushes to the connection's [`Activity`]. If a
 /// request's body is unread at its end, it discards what still arrives, see [`Linger`].
--- a/crates/entry/src/host.rs
+++ b/crates/entry/src/host.rs
@@ -87,11 +87,11 @@
             read_ms: limits.read_ms,
             connections: limits.connections,
         };
-        let callers_places = budget.places(Class::Callers, limits.connections);
+        let caller_places = budget.places(Class::Callers, limits.connections);
         let admin_places = budget.places(Class::Internal, limits.connections.min(MAX_OPERATORS));
         let callers = CallerHandler { core: core.clone() };
         let (listen, caller_listener) =
-            start_listener("listen", settings.listen, bounds, callers_places, callers)?;
+            start_listener("listen", settings.listen, bounds, caller_places, callers)?;
         let operators = AdminHandler { core: core.clone(), node: node.reader() };
         let (admin, admin_listener) =
             start_listener("admin", settings.admin, bounds, admin_places, operators)?;
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -18,4 +18,4 @@
 pub use counted::Progress;
 pub use error::{BodyError, LinkError};
 pub use listen::listen;
-pub use server::{Bounds, Handler, ServeSummary, Stop, serve, serve_within};
+pub use server::{Bounds, EVICT_TIMEOUT, Handler, ServeSummary, Stop, serve, serve_within};
--- a/crates/link/src/server.rs
+++ b/crates/link/src/server.rs
@@ -24,7 +24,7 @@
 use crate::counted::{CountedStream, Progress};
 
 /// Time that a connection which must yield has to send the refusal of its request.
-const EVICT_TIMEOUT: Ms = Ms(250);
+pub const EVICT_TIMEOUT: Ms = Ms(250);
 
 /// Limits on what untrusted clients may use.
 #[derive(Clone, Copy, Debug)]
